--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -43,6 +43,27 @@
   kWeightsRegressed = 603,
   kClaimUnknown = 700,
   kPeerProtocolError = 800,
+  kSettingsReloaded = 105,
+  kUpstreamListed = 213,
+  kUpstreamRemoved = 214,
+  kEntryUnreadable = 215,
+  kFeedRestarted = 402,
+  kStoreAnswerUnexpected = 403,
+  kRecordUnreadable = 404,
+  kBatchAccepted = 520,
+  kBatchOwned = 521,
+  kBatchTakeover = 522,
+  kBatchReleased = 523,
+  kBatchEnded = 524,
+  kItemRequeued = 525,
+  kItemListed = 526,
+  kCheckpointFailed = 527,
+  kBatchRefused = 528,
+  kWeightsOrdered = 604,
+  kRequestAnswered = 900,
+  kRequestRefused = 901,
+  kAttemptFailed = 902,
+  kCallerLeft = 903,
 };
 std::string_view NameOf(LogEvent event);
 
@@ -51,6 +72,9 @@
 void LogEventLine(LogLevel level, LogEvent event, const Json& fields);
 // Names the host in all later lines; level is "info", "warning" or "error".
 void StartLogging(const HostId& host, std::string_view level);
+// As StartLogging, but writes to standard output without ever blocking: a reader that stops reading costs lines,
+// and each kind of event is held to a number of lines a second. What was left out is counted and logged.
+void StartBoundedLogging(const HostId& host, std::string_view level);
 
 }  // namespace oleander
 
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -1,12 +1,18 @@
 #include "oleander/log_events.h"
 
+#include <fcntl.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <map>
 #include <memory>
+#include <mutex>
+#include <utility>
 
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
@@ -18,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 34> kEventNames = {{
+constexpr std::array<EventName, 55> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -53,6 +59,27 @@
     {LogEvent::kWeightsRegressed, "weights_regressed"},
     {LogEvent::kClaimUnknown, "claim_unknown"},
     {LogEvent::kPeerProtocolError, "peer_protocol_error"},
+    {LogEvent::kSettingsReloaded, "settings_reloaded"},
+    {LogEvent::kUpstreamListed, "upstream_listed"},
+    {LogEvent::kUpstreamRemoved, "upstream_removed"},
+    {LogEvent::kEntryUnreadable, "entry_unreadable"},
+    {LogEvent::kFeedRestarted, "feed_restarted"},
+    {LogEvent::kStoreAnswerUnexpected, "store_answer_unexpected"},
+    {LogEvent::kRecordUnreadable, "record_unreadable"},
+    {LogEvent::kBatchAccepted, "batch_accepted"},
+    {LogEvent::kBatchOwned, "batch_owned"},
+    {LogEvent::kBatchTakeover, "batch_takeover"},
+    {LogEvent::kBatchReleased, "batch_released"},
+    {LogEvent::kBatchEnded, "batch_ended"},
+    {LogEvent::kItemRequeued, "item_requeued"},
+    {LogEvent::kItemListed, "item_listed"},
+    {LogEvent::kCheckpointFailed, "checkpoint_failed"},
+    {LogEvent::kBatchRefused, "batch_refused"},
+    {LogEvent::kWeightsOrdered, "weights_ordered"},
+    {LogEvent::kRequestAnswered, "request_answered"},
+    {LogEvent::kRequestRefused, "request_refused"},
+    {LogEvent::kAttemptFailed, "attempt_failed"},
+    {LogEvent::kCallerLeft, "caller_left"},
 }};
 
 spdlog::level::level_enum SpdlogLevel(LogLevel level) {
@@ -67,8 +94,51 @@
   return spdlog::level::err;
 }
 
+constexpr int kLinesPerSecond = 60;  // of one kind of event
+
+// Lines of one kind of event in the second that began at `since`.
+struct LineBudget {
+  std::int64_t since = 0;  // seconds
+  int written = 0;
+  std::int64_t left_out = 0;
+};
+
+// Writes to standard output and drops what the reader does not take.
+class NonBlockingSink : public spdlog::sinks::base_sink<std::mutex> {
+ public:
+  NonBlockingSink() { fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK); }
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    pending_.append(line.data(), line.size());
+    if (pending_.size() > kMaxPendingBytes) {
+      // Whole lines only, so that the reader's lines stay readable.
+      const std::size_t cut = pending_.find('\n', pending_.size() - kMaxPendingBytes);
+      pending_.erase(partial_ ? pending_.find('\n') + 1 : 0, cut + 1 - (partial_ ? pending_.find('\n') + 1 : 0));
+    }
+    flush_();
+  }
+  void flush_() override {
+    while (!pending_.empty()) {
+      const ssize_t n = write(STDOUT_FILENO, pending_.data(), pending_.size());
+      if (n <= 0) return;
+      partial_ = pending_[static_cast<std::size_t>(n) - 1] != '\n';
+      pending_.erase(0, static_cast<std::size_t>(n));
+    }
+  }
+
+ private:
+  static constexpr std::size_t kMaxPendingBytes = 256 << 10;
+  std::string pending_;
+  bool partial_ = false;  // the first line of `pending_` is written in part
+};
+
 // Replaced only by StartLogging, before other threads log.
 struct LogState {
+  bool bounded = false;
+  std::map<LogEvent, LineBudget> budgets;  // used by one thread
   HostId host;
   std::shared_ptr<spdlog::logger> logger = spdlog::stderr_logger_mt("oleander");
 };
@@ -79,6 +149,25 @@
 
 }  // namespace
 
+namespace {
+
+// Returns how many lines of this kind were left out before this one, or -1 if it is to be left out too.
+std::int64_t TakeLine(LogState& state, LogEvent event) {
+  LineBudget& budget = state.budgets[event];
+  const std::int64_t second = absl::ToUnixSeconds(absl::Now());
+  if (budget.since != second) {
+    budget.since = second;
+    budget.written = 0;
+  }
+  if (++budget.written > kLinesPerSecond) {
+    ++budget.left_out;
+    return -1;
+  }
+  return std::exchange(budget.left_out, 0);
+}
+
+}  // namespace
+
 std::string_view NameOf(LogEvent event) {
   const auto it = std::find_if(kEventNames.begin(), kEventNames.end(),
                                [event](const EventName& row) { return row.event == event; });
@@ -89,12 +178,18 @@
 void LogEventLine(LogLevel level, LogEvent event, const Json& fields) {
   LogState& state = State();
   if (!state.logger->should_log(SpdlogLevel(level))) return;
+  std::int64_t left_out = 0;
+  if (state.bounded) {
+    left_out = TakeLine(state, event);
+    if (left_out < 0) return;
+  }
   Json line = {{"time", absl::FormatTime(absl::RFC3339_full, absl::Now(), absl::UTCTimeZone())},
                {"level", std::string(spdlog::level::to_string_view(SpdlogLevel(level)).data())},
                {"event", static_cast<int>(event)},
                {"name", NameOf(event)},
                {"host", state.host}};
   line.update(fields);
+  if (left_out > 0) line["left_out_before"] = left_out;
   // A field may hold bytes of a caller that are not UTF-8.
   state.logger->log(SpdlogLevel(level), line.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
@@ -107,4 +202,11 @@
   state.logger->flush_on(spdlog::level::info);
 }
 
+void StartBoundedLogging(const HostId& host, std::string_view level) {
+  LogState& state = State();
+  state.logger = std::make_shared<spdlog::logger>("oleander", std::make_shared<NonBlockingSink>());
+  StartLogging(host, level);
+  state.bounded = true;
+}
+
 }  // namespace oleander
--- /dev/null
+++ b/src/serving/batch_records.cc
@@ -0,0 +1,175 @@
+#include "serving/batch_records.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "serving/text.h"
+
+namespace oleander::serving {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kSubmissionFormat = 1;
+
+std::string Pack(const Json& value) {
+  std::string bytes;
+  Json::to_msgpack(value, bytes);
+  return bytes;
+}
+
+// A discarded value if the bytes are not MessagePack.
+Json Unpack(std::string_view bytes) { return Json::from_msgpack(bytes.begin(), bytes.end(), true, false); }
+
+Json Binary(const std::string& text) { return Json::binary({text.begin(), text.end()}); }
+std::string Text(const Json& binary) {
+  const Json::binary_t& bytes = binary.get_binary();
+  return std::string(bytes.begin(), bytes.end());
+}
+
+// Runs a decoder; a record of another shape decodes to nullopt, as one of another writer.
+template <class T, class F>
+std::optional<T> Decode(std::string_view bytes, F&& read) {
+  const Json value = Unpack(bytes);
+  if (value.is_discarded()) return std::nullopt;
+  try {
+    return read(value);
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string EncodeLease(const BatchLease& lease) {
+  return Pack(Json::array({lease.owner, absl::ToInt64Milliseconds(lease.valid_until),
+                           absl::ToInt64Milliseconds(lease.accepted_at), lease.listed, lease.total, lease.finished}));
+}
+
+std::optional<BatchLease> DecodeLease(std::string_view bytes) {
+  return Decode<BatchLease>(bytes, [](const Json& value) {
+    BatchLease lease;
+    lease.owner = value.at(0).get<std::string>();
+    lease.valid_until = absl::Milliseconds(value.at(1).get<std::int64_t>());
+    lease.accepted_at = absl::Milliseconds(value.at(2).get<std::int64_t>());
+    lease.listed = value.at(3).get<std::int64_t>();
+    lease.total = value.at(4).get<std::int64_t>();
+    lease.finished = value.at(5).get<bool>();
+    return lease;
+  });
+}
+
+std::string EncodeSubmission(const BatchSubmission& submission) {
+  Json items = Json::array();
+  for (const BatchItem& it : submission.items) {
+    Json headers = Json::array();
+    for (const HeaderField& field : it.headers) headers.push_back(Json::array({Binary(field.name), Binary(field.value)}));
+    items.push_back(Json::array({it.id, it.target, std::move(headers), Binary(it.body), it.group, it.tokens,
+                                 it.length_hint}));
+  }
+  return Pack(Json::array({kSubmissionFormat, submission.id, submission.host, submission.path, submission.step,
+                           submission.model, submission.min_version, submission.desired_groups, std::move(items)}));
+}
+
+std::optional<BatchSubmission> DecodeSubmission(std::string_view bytes) {
+  return Decode<BatchSubmission>(bytes, [](const Json& value) -> std::optional<BatchSubmission> {
+    if (value.at(0).get<int>() != kSubmissionFormat) return std::nullopt;
+    BatchSubmission submission;
+    submission.id = value.at(1).get<std::string>();
+    submission.host = value.at(2).get<std::string>();
+    submission.path = value.at(3).get<std::string>();
+    submission.step = value.at(4).get<std::int64_t>();
+    submission.model = value.at(5).get<std::string>();
+    submission.min_version = value.at(6).get<std::int64_t>();
+    submission.desired_groups = value.at(7).get<int>();
+    for (const Json& it : value.at(8)) {
+      BatchItem item;
+      item.id = it.at(0).get<std::string>();
+      item.target = it.at(1).get<std::string>();
+      for (const Json& field : it.at(2)) item.headers.push_back({Text(field.at(0)), Text(field.at(1))});
+      item.body = Text(it.at(3));
+      item.group = it.at(4).get<std::string>();
+      item.tokens = it.at(5).get<std::int64_t>();
+      item.length_hint = it.at(6).get<double>();
+      submission.items.push_back(std::move(item));
+    }
+    return submission;
+  });
+}
+
+std::string EncodeResult(const ItemResult& result) {
+  return Pack(Json::array({result.item, static_cast<int>(result.state), Binary(result.output), result.versions}));
+}
+
+std::optional<ItemResult> DecodeResult(std::string_view bytes) {
+  return Decode<ItemResult>(bytes, [](const Json& value) {
+    ItemResult result;
+    result.item = value.at(0).get<std::string>();
+    result.state = static_cast<ItemState>(value.at(1).get<int>());
+    result.output = Text(value.at(2));
+    result.versions = value.at(3).get<std::vector<std::int64_t>>();
+    return result;
+  });
+}
+
+std::string EncodePartial(const PartialText& partial) {
+  return Pack(Json::array({partial.item, Binary(partial.output), partial.events, partial.last_event, partial.versions}));
+}
+
+std::optional<PartialText> DecodePartial(std::string_view bytes) {
+  return Decode<PartialText>(bytes, [](const Json& value) {
+    PartialText partial;
+    partial.item = value.at(0).get<std::string>();
+    partial.output = Text(value.at(1));
+    partial.events = value.at(2).get<std::int64_t>();
+    partial.last_event = value.at(3).get<std::int64_t>();
+    partial.versions = value.at(4).get<std::vector<std::int64_t>>();
+    return partial;
+  });
+}
+
+std::vector<RowWrite> SplitIntoRows(std::string_view table, const std::string& partition, const std::string& key,
+                                    std::string_view bytes, std::size_t most) {
+  const std::size_t count = (bytes.size() + 1 + most - 1) / most;
+  std::vector<RowWrite> rows;
+  std::size_t at = 0;
+  for (std::size_t it = 0; it < count; ++it) {
+    RowWrite row;
+    row.id = {std::string(table), partition, it == 0 ? key : absl::StrFormat("%s/%03d", key, static_cast<int>(it))};
+    if (it == 0) row.value.push_back(static_cast<char>(count));
+    const std::size_t n = std::min(most - row.value.size(), bytes.size() - at);
+    row.value.append(bytes.substr(at, n));
+    at += n;
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+std::optional<std::string> JoinRows(const std::vector<Row>& rows, std::size_t& at) {
+  if (at >= rows.size() || rows[at].value.empty()) return std::nullopt;
+  const std::size_t count = static_cast<unsigned char>(rows[at].value[0]);
+  if (count == 0 || at + count > rows.size()) return std::nullopt;
+  const std::string& key = rows[at].id.key;
+  std::string bytes = rows[at].value.substr(1);
+  for (std::size_t it = 1; it < count; ++it) {
+    if (rows[at + it].id.key != absl::StrFormat("%s/%03d", key, static_cast<int>(it))) return std::nullopt;
+    bytes += rows[at + it].value;
+  }
+  at += count;
+  return bytes;
+}
+
+std::string SubmissionKey() { return "a"; }
+
+std::string ObjectName(const std::string& job, int piece) { return absl::StrFormat("batch-%s-%03d", job, piece); }
+
+std::string ResultKey(std::int64_t position) { return absl::StrFormat("r%08d", position); }
+
+std::optional<std::int64_t> ResultPosition(std::string_view key) {
+  std::int64_t position = 0;
+  if (!key.starts_with("r") || key.size() != 9 || !ParseInteger(key.substr(1), &position)) return std::nullopt;
+  return position;
+}
+
+}  // namespace oleander::serving
--- /dev/null
+++ b/src/serving/batch_runs.cc
@@ -0,0 +1,493 @@
+// Placement and runs of the items of batch jobs.
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "oleander/log_events.h"
+#include "oleander/metrics.h"
+#include "serving/batch_job.h"
+
+namespace oleander::serving {
+namespace {
+
+constexpr absl::Duration kLoadingPause = absl::Milliseconds(120);     // an engine that takes new weights, before the next try
+constexpr absl::Duration kMisdirectedPause = absl::Milliseconds(400);  // the list names another incarnation, or old weights
+constexpr absl::Duration kFailedPause = absl::Milliseconds(50);       // an item whose run failed
+constexpr absl::Duration kUnexpectedPause = absl::Milliseconds(500);  // an answer that the protocol does not give to runs
+constexpr absl::Duration kLeastRunBeforeMove = absl::Milliseconds(400);
+constexpr std::int64_t kCheckpointEvents = 10;  // new events that are worth a write
+constexpr int kUnframedEndsToBelieve = 2;       // ends without a length that agree
+
+}  // namespace
+
+BatchService::Job BatchService::MakeJob(BatchSubmission submission) {
+  Job job;
+  job.submission = std::move(submission);
+  job.items.resize(job.submission.items.size());
+  for (std::size_t it = 0; it < job.items.size(); ++it) {
+    job.items[it].spec = std::move(job.submission.items[it]);
+    job.items[it].index = it;
+    job.order.push_back(it);
+  }
+  job.submission.items.clear();
+  job.unlisted = static_cast<std::int64_t>(job.items.size());
+  RankItems(job);
+  return job;
+}
+
+// Items with stored text first: their groups are waited for, and they are known to be long. Then the longest by
+// the hint, which decide when the step ends. Every item of the step is wanted, so no length is left out.
+void BatchService::RankItems(Job& job) {
+  std::stable_sort(job.order.begin(), job.order.end(), [&job](std::size_t a, std::size_t b) {
+    const Item& left = job.items[a];
+    const Item& right = job.items[b];
+    if ((left.events > 0) != (right.events > 0)) return left.events > 0;
+    return left.spec.length_hint > right.spec.length_hint;
+  });
+  job.waiting.clear();
+  for (std::size_t rank = 0; rank < job.order.size(); ++rank) {
+    Item& item = job.items[job.order[rank]];
+    item.rank = rank;
+    if (item.phase == Phase::kWaiting) job.waiting.insert(rank);
+  }
+}
+
+std::string BatchService::PartialPartition(const Job& job) const {
+  return absl::StrCat(job.submission.host, "/", job.submission.model);
+}
+
+BatchService::Item* BatchService::FindRun(const std::string& job, std::size_t item, std::uint64_t run) {
+  Job* const found = FindJob(job);
+  if (found == nullptr || item >= found->items.size()) return nullptr;
+  Item& candidate = found->items[item];
+  return candidate.phase == Phase::kRunning && candidate.run == run ? &candidate : nullptr;
+}
+
+// ---- Texts kept in the store ------------------------------------------------------------------------------
+
+void BatchService::LoadPartials(Job& job) {
+  const std::string id = job.submission.id;
+  store_.Get({std::string(kPartialTable), PartialPartition(job), "", "", 0}, [this, id](const StoreReply& reply) {
+    NoteStoreTime(reply);
+    Job* const found = FindJob(id);
+    if (found == nullptr) return;
+    Job& job = *found;
+    job.ready = true;
+    std::map<std::string, Item*> by_id;
+    for (Item& it : job.items) by_id[it.spec.id] = &it;
+    const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+    const bool single_version = route != nullptr && route->single_version;
+    int used = 0;
+    for (std::size_t at = 0; at < reply.rows.size();) {
+      const std::string key = reply.rows[at].id.key;
+      const std::size_t before = at;
+      const std::optional<std::string> bytes = JoinRows(reply.rows, at);
+      if (!bytes) {
+        at = before + 1;
+        continue;
+      }
+      const std::optional<PartialText> partial = DecodePartial(*bytes);
+      if (!partial || partial->versions.empty()) continue;
+      const std::int64_t oldest = *std::min_element(partial->versions.begin(), partial->versions.end());
+      if (oldest < job.submission.min_version) {
+        job.partials_to_remove.push_back(key);  // steps only ask for newer weights
+        continue;
+      }
+      const auto it = by_id.find(partial->item);
+      if (it == by_id.end() || it->second->phase != Phase::kWaiting) continue;
+      if (single_version && partial->versions.size() > 1) continue;
+      Item& item = *it->second;
+      item.output = partial->output;
+      item.events = partial->events;
+      item.last_event = partial->last_event;
+      item.versions.insert(partial->versions.begin(), partial->versions.end());
+      item.checkpointed_events = item.events;
+      item.has_partial_row = true;
+      ++used;
+    }
+    if (used > 0) RankItems(job);
+    LogEventLine(LogLevel::kInfo, LogEvent::kBatchOwned,
+                 {{"job", id},
+                  {"total", job.lease.total},
+                  {"listed", job.lease.listed},
+                  {"texts_resumed", used},
+                  {"store", NameOf(reply.outcome)}});
+    Dispatch();
+  });
+}
+
+void BatchService::Checkpoint(Job& job, bool all, std::function<void()> done) {
+  Transaction transaction;
+  const std::string partition = PartialPartition(job);
+  std::size_t bytes = 0;
+  for (Item& it : job.items) {
+    if (it.phase == Phase::kListed || it.events == 0 || it.versions.empty()) continue;
+    const std::int64_t fresh = it.events - it.checkpointed_events;
+    if (fresh < (all ? 1 : kCheckpointEvents)) continue;
+    PartialText partial;
+    partial.item = it.spec.id;
+    partial.output = it.output;
+    partial.events = it.events;
+    partial.last_event = it.last_event;
+    partial.versions.assign(it.versions.begin(), it.versions.end());
+    std::vector<RowWrite> rows =
+        SplitIntoRows(kPartialTable, partition, it.spec.id, EncodePartial(partial), settings_.max_row_bytes);
+    if (bytes + it.output.size() > settings_.max_commit_bytes ||
+        transaction.writes.size() + rows.size() > kMaxRowsInCommit) {
+      break;
+    }
+    bytes += it.output.size();
+    for (RowWrite& row : rows) transaction.writes.push_back(std::move(row));
+    it.checkpointed_events = it.events;
+    it.has_partial_row = true;
+  }
+  while (!job.partials_to_remove.empty() && transaction.writes.size() + transaction.removals.size() < kMaxRowsInCommit) {
+    transaction.removals.push_back({std::string(kPartialTable), partition, job.partials_to_remove.back()});
+    job.partials_to_remove.pop_back();
+  }
+  if (transaction.writes.empty() && transaction.removals.empty()) {
+    done();
+    return;
+  }
+  job.checkpoint_in_flight = true;
+  const std::string id = job.submission.id;
+  store_.Commit(transaction, [this, id, done = std::move(done)](const StoreReply& reply) {
+    NoteStoreTime(reply);
+    if (reply.outcome != StoreOutcome::kOk) {
+      // Only work is lost: the texts are generated again.
+      LogEventLine(LogLevel::kWarning, LogEvent::kCheckpointFailed, {{"job", id}, {"store", NameOf(reply.outcome)}});
+    }
+    Job* const found = FindJob(id);
+    if (found != nullptr) found->checkpoint_in_flight = false;
+    done();
+  });
+}
+
+// ---- Placement --------------------------------------------------------------------------------------------
+
+void BatchService::Tick() {
+  const absl::Time now = loop_.Now();
+  std::vector<std::string> ids;
+  for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) ids.push_back(it.first);
+  for (const std::string& id : ids) {
+    Job* const job = FindJob(id);
+    if (job == nullptr) continue;
+    if (!job->frozen) {
+      MoveSlowRuns(*job);
+      GiveUpLate(*job);
+    }
+    const bool due = (!job->pending.empty() && now >= job->last_commit + settings_.commit_every) ||
+                     now >= job->last_commit + settings_.renew_every || job->handing_over;
+    if (due && now >= job->retry_at) CommitResults(*job);
+    if (!job->frozen && !job->checkpoint_in_flight && now >= job->last_checkpoint + settings_.checkpoint_every) {
+      job->last_checkpoint = now;
+      Checkpoint(*job, false, [] {});
+    }
+  }
+  Dispatch();
+}
+
+void BatchService::Dispatch() {
+  if (dispatching_) return;  // a run that fails at once comes back here
+  dispatching_ = true;
+  const absl::Time now = loop_.Now();
+  for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) {
+    Job& job = *it.second;
+    if (!job.ready || job.frozen) continue;
+    const std::vector<std::size_t> ranks(job.waiting.begin(), job.waiting.end());
+    for (const std::size_t rank : ranks) {
+      Item& item = job.items[job.order[rank]];
+      if (now < item.not_before) continue;
+      if (!PlaceItem(job, item)) break;
+    }
+  }
+  dispatching_ = false;
+}
+
+// False: no upstream has room for any item of this job.
+bool BatchService::PlaceItem(Job& job, Item& item) {
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  if (route == nullptr || route->services.empty()) return false;
+  ItemChoice choice;
+  choice.model = job.submission.model;
+  choice.min_version = job.submission.min_version;
+  if (route->single_version && !item.versions.empty()) choice.exact_version = *item.versions.begin();
+  choice.zone = settings_.zone;
+  choice.avoided = item.avoided;
+  choice.now = loop_.Now();
+  const auto group = job.group_upstream.find(item.spec.group);
+  if (group != job.group_upstream.end()) choice.preferred = group->second;
+  const std::vector<UpstreamState*> usable = directory_.Usable(route->services.front().service);
+  UpstreamState* upstream = PickForItem(usable, choice);
+  if (upstream == nullptr && choice.exact_version != 0) {
+    // No engine holds the version of its text any more.
+    bool held = false;
+    for (const UpstreamState* it : usable) held = held || WeightsOf(*it, choice.model) == choice.exact_version;
+    if (held) return true;
+    DropText(item);
+    choice.exact_version = 0;
+    upstream = PickForItem(usable, choice);
+  }
+  if (upstream == nullptr) return false;
+  job.group_upstream[item.spec.group] = upstream->entry.id;
+  StartRun(job, item, *upstream);
+  return true;
+}
+
+void BatchService::StartRun(Job& job, Item& item, UpstreamState& upstream) {
+  const absl::Time now = loop_.Now();
+  const std::string id = job.submission.id;
+  const std::size_t index = item.index;
+  const std::uint64_t run = next_run_++;
+  job.waiting.erase(item.rank);
+  ++job.running;
+  ++upstream.in_flight;
+  item.phase = Phase::kRunning;
+  item.run = run;
+  item.upstream = upstream.entry.id;
+  item.started = now;
+  item.last_progress = now;
+  item.events_in_run = 0;
+  item.head = {};
+  item.version = 0;
+  item.reader = {};
+
+  UpstreamCall call;
+  call.address = upstream.entry.address;
+  call.expected_id = upstream.entry.id;
+  call.host = job.submission.host;
+  call.request_id = item.spec.id;
+  call.method = "POST";
+  call.target = item.spec.target;
+  call.headers = item.spec.headers;
+  call.body = item.spec.body;
+  if (item.events > 0) call.resume_after = item.last_event;
+  call.silence_timeout = settings_.silence_limit;
+  CallHandlers handlers;
+  handlers.on_head = [this, id, index, run](const AnswerHead& head) { OnRunHead(id, index, run, head); };
+  handlers.on_body = [this, id, index, run](std::string_view bytes) { OnRunBytes(id, index, run, bytes); };
+  handlers.on_end = [this, id, index, run](CallEnd end) { OnRunEnd(id, index, run, end); };
+  item.call = link_.Start(std::move(call), std::move(handlers));
+}
+
+// Ends the run's part of the books; its call is over or is cancelled by the caller.
+void BatchService::StopRun(Job& job, Item& item) {
+  if (item.phase != Phase::kRunning) return;
+  link_.Cancel(item.call);
+  item.call = 0;
+  item.run = 0;
+  item.phase = Phase::kWaiting;
+  --job.running;
+  job.waiting.insert(item.rank);
+  UpstreamState* const upstream = directory_.Find(item.upstream);
+  if (upstream != nullptr) --upstream->in_flight;
+}
+
+void BatchService::Requeue(Job& job, Item& item, absl::Duration pause, std::string_view reason) {
+  LogEventLine(LogLevel::kInfo, LogEvent::kItemRequeued,
+               {{"job", job.submission.id},
+                {"item", item.spec.id},
+                {"upstream", item.upstream},
+                {"reason", reason},
+                {"status", item.head.status},
+                {"events", item.events},
+                {"run_ms", absl::ToInt64Milliseconds(loop_.Now() - item.started)}});
+  AddCounter(GlobalMetrics(), "item_requeued", reason);
+  StopRun(job, item);
+  item.avoided = item.upstream;
+  item.not_before = loop_.Now() + pause;
+}
+
+void BatchService::DropText(Item& item) {
+  item.output.clear();
+  item.events = 0;
+  item.last_event = 0;
+  item.versions.clear();
+  item.checkpointed_events = 0;
+}
+
+void BatchService::OnRunHead(const std::string& id, std::size_t index, std::uint64_t run, const AnswerHead& head) {
+  Item* const item = FindRun(id, index, run);
+  if (item == nullptr) return;
+  Job& job = *FindJob(id);
+  const absl::Time now = loop_.Now();
+  item->head = head;
+  UpstreamState* const upstream = directory_.Find(item->upstream);
+  const bool own = head.request_id.empty() || head.request_id == item->spec.id;
+  if (upstream != nullptr && own) ObserveHead(*upstream, head, job.submission.model, now);
+  if (head.status != 200) return;
+  if (!own) {
+    if (upstream != nullptr) ObserveFailure(*upstream, now);
+    Requeue(job, *item, absl::ZeroDuration(), "foreign_answer");
+    Dispatch();
+    return;
+  }
+  item->version = head.weights.value_or(0);
+  if (item->version < job.submission.min_version) {
+    if (upstream != nullptr && !head.weights) upstream->avoid_until = now + kMisdirectedPause;
+    Requeue(job, *item, absl::ZeroDuration(), "weights_too_old");
+    Dispatch();
+    return;
+  }
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  if (route != nullptr && route->single_version && !item->versions.empty() && !item->versions.contains(item->version)) {
+    Requeue(job, *item, absl::ZeroDuration(), "weights_differ");
+    DropText(*item);
+    Dispatch();
+  }
+}
+
+void BatchService::OnRunBytes(const std::string& id, std::size_t index, std::uint64_t run, std::string_view bytes) {
+  Item* const item = FindRun(id, index, run);
+  if (item == nullptr || item->head.status != 200) return;
+  Job& job = *FindJob(id);
+  const absl::Time now = loop_.Now();
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  UpstreamState* const upstream = directory_.Find(item->upstream);
+  AddBytes(item->reader, bytes);
+  while (const std::optional<StreamEvent> event = NextEvent(item->reader)) {
+    if (event->weights) {
+      item->version = *event->weights;
+      if (upstream != nullptr) upstream->observed_weights[job.submission.model] = item->version;
+    }
+    const bool in_order = event->id && (item->events == 0 || *event->id == item->last_event + 1);
+    if (!in_order || item->reader.malformed) {
+      if (upstream != nullptr) ObserveFailure(*upstream, now);
+      Requeue(job, *item, absl::ZeroDuration(), "events_out_of_order");
+      Dispatch();
+      return;
+    }
+    const bool mixed = route != nullptr && route->single_version && !item->versions.empty() &&
+                       !item->versions.contains(item->version);
+    if (item->version < job.submission.min_version || mixed) {
+      Requeue(job, *item, absl::ZeroDuration(), mixed ? "weights_differ" : "weights_too_old");
+      if (mixed) DropText(*item);
+      Dispatch();
+      return;
+    }
+    if (item->events > 0) item->output.push_back('\n');
+    item->output += event->data;
+    ++item->events;
+    item->last_event = *event->id;
+    item->versions.insert(item->version);
+    if (item->events_in_run > 0 && upstream != nullptr) ObserveEventGap(*upstream, now - item->last_progress, now);
+    ++item->events_in_run;
+    item->last_progress = now;
+  }
+}
+
+void BatchService::OnRunEnd(const std::string& id, std::size_t index, std::uint64_t run, CallEnd end) {
+  Item* const item = FindRun(id, index, run);
+  if (item == nullptr) return;
+  Job& job = *FindJob(id);
+  const absl::Time now = loop_.Now();
+  UpstreamState* const upstream = directory_.Find(item->upstream);
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  const int status = item->head.status;
+  if (end == CallEnd::kComplete && status == 200) {
+    const bool cut = !item->reader.pending.empty() || item->reader.has_fields || item->reader.malformed;
+    // Without a length, an end in good order may still be a broken answer: the next run shows whether text is left.
+    if (!item->head.framed) ++item->unframed_ends;
+    const bool believed = item->head.framed || item->unframed_ends >= kUnframedEndsToBelieve;
+    if (!cut && item->events > 0 && believed) {
+      if (upstream != nullptr) ObserveSuccess(*upstream);
+      ListItem(job, *item, ItemState::kCompleted);
+    } else {
+      Requeue(job, *item, absl::ZeroDuration(), cut ? "cut" : "unframed");
+    }
+  } else if (end == CallEnd::kComplete && status == 500) {
+    ++item->failures;
+    if (item->failures >= std::max(1, route == nullptr ? 1 : route->max_attempts)) {
+      ListItem(job, *item, ItemState::kAbandoned);
+    } else {
+      Requeue(job, *item, kFailedPause, "failed");
+    }
+  } else if (end == CallEnd::kComplete && status == 422) {
+    ListItem(job, *item, ItemState::kAbandoned);
+  } else if (end == CallEnd::kComplete && status == 421) {
+    if (upstream != nullptr) upstream->avoid_until = now + kMisdirectedPause;
+    Requeue(job, *item, absl::ZeroDuration(), "misdirected");
+  } else if (end == CallEnd::kComplete && item->head.not_run) {
+    // Full, or taking new weights for this model; other models go on.
+    if (upstream != nullptr) upstream->loading_until[job.submission.model] = now + kLoadingPause;
+    Requeue(job, *item, absl::ZeroDuration(), "not_run");
+  } else if (end == CallEnd::kComplete) {
+    Requeue(job, *item, kUnexpectedPause, "unexpected_status");
+  } else {
+    if (upstream != nullptr) ObserveFailure(*upstream, now);
+    Requeue(job, *item, absl::ZeroDuration(), NameOf(end));
+  }
+  Dispatch();
+}
+
+void BatchService::ListItem(Job& job, Item& item, ItemState state) {
+  LogEventLine(LogLevel::kInfo, LogEvent::kItemListed,
+               {{"job", job.submission.id},
+                {"item", item.spec.id},
+                {"state", state == ItemState::kCompleted ? "completed" : "abandoned"},
+                {"upstream", item.upstream},
+                {"events", item.events},
+                {"age_ms", absl::ToInt64Milliseconds(StoreNow() - job.lease.accepted_at)}});
+  StopRun(job, item);
+  job.waiting.erase(item.rank);
+  item.phase = Phase::kListed;
+  --job.unlisted;
+  ItemResult result;
+  result.item = item.spec.id;
+  result.state = state;
+  if (state == ItemState::kCompleted) {
+    result.output = std::move(item.output);
+    result.versions.assign(item.versions.begin(), item.versions.end());
+  }
+  item.output.clear();
+  if (item.has_partial_row) job.partials_to_remove.push_back(item.spec.id);
+  job.pending.push_back(std::move(result));
+}
+
+// ---- Slow and late runs -----------------------------------------------------------------------------------
+
+void BatchService::MoveSlowRuns(Job& job) {
+  if (job.running == 0) return;
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  if (route == nullptr || route->services.empty()) return;
+  const absl::Time now = loop_.Now();
+  const std::vector<UpstreamState*> usable = directory_.Usable(route->services.front().service);
+  const double usual = MedianGap(usable, now);
+  bool moved = false;
+  for (Item& it : job.items) {
+    if (it.phase != Phase::kRunning || now - it.started < kLeastRunBeforeMove) continue;
+    const UpstreamState* const upstream = directory_.Find(it.upstream);
+    const double gap = upstream == nullptr ? usual : upstream->gap_ms;
+    RunProgress progress;
+    progress.since_last_event = now - it.last_progress;
+    progress.events = it.events_in_run;
+    progress.age = now - it.started;
+    if (!ShouldMoveRun(progress, gap, usual, true)) continue;
+    ItemChoice choice;
+    choice.model = job.submission.model;
+    choice.min_version = job.submission.min_version;
+    if (route->single_version && !it.versions.empty()) choice.exact_version = *it.versions.begin();
+    choice.zone = settings_.zone;
+    choice.avoided = it.upstream;
+    choice.now = now;
+    const UpstreamState* const other = PickForItem(usable, choice);
+    if (other == nullptr || other->entry.id == it.upstream || other->gap_ms * 1.3 >= gap) {
+      if (other == nullptr || other->entry.id == it.upstream || it.last_progress + settings_.silence_limit / 2 > now) continue;
+    }
+    Requeue(job, it, absl::ZeroDuration(), "slow");
+    moved = true;
+  }
+  if (moved) Dispatch();
+}
+
+void BatchService::GiveUpLate(Job& job) {
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  const bool route_gone = route == nullptr && directory_.policy().version > 0;
+  const bool late = route != nullptr && StoreNow() - job.lease.accepted_at >= route->keep;
+  if (!route_gone && !late) return;
+  for (Item& it : job.items) {
+    if (it.phase != Phase::kListed) ListItem(job, it, ItemState::kAbandoned);
+  }
+}
+
+}  // namespace oleander::serving
--- /dev/null
+++ b/src/serving/batch_service.cc
@@ -0,0 +1,625 @@
+#include "serving/batch_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "oleander/log_events.h"
+#include "oleander/metrics.h"
+#include "serving/batch_job.h"
+
+namespace oleander::serving {
+namespace {
+
+constexpr absl::Duration kRetryPause = absl::Milliseconds(80);        // after a refusal of the store
+constexpr absl::Duration kTakeOverMargin = absl::Milliseconds(150);   // the owner's estimate of the store's time may be ahead
+constexpr absl::Duration kReadPatience = absl::Milliseconds(900);     // of a reader while the store fails
+constexpr absl::Duration kWorstClockStep = absl::Seconds(10);         // a store that restarted its clock
+constexpr absl::Duration kHandOverPatience = absl::Milliseconds(1500);
+constexpr int kMaxEndTries = 6;
+
+}  // namespace
+
+struct BatchService::Accepting {
+  BatchSubmission submission;
+  std::string bytes;
+  BatchLease lease;
+  Transaction transaction;
+  absl::Time give_up;
+  bool uncertain = false;  // a write without an answer may still take effect
+  Done done;
+};
+
+struct BatchService::Reading {
+  std::string job;
+  std::int64_t after = 0;
+  absl::Time wait_until;   // for a result
+  absl::Time give_up;      // while the store fails
+  PageDone done;
+};
+
+BatchService::BatchService(Loop& loop, Store& store, UpstreamLink& link, Directory& directory, BatchSettings settings)
+    : loop_(loop), store_(store), link_(link), directory_(directory), settings_(std::move(settings)) {}
+BatchService::~BatchService() = default;
+
+int BatchService::running_items() const {
+  int n = 0;
+  for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) n += it.second->running;
+  return n;
+}
+
+int BatchService::waiting_items() const {
+  int n = 0;
+  for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) n += static_cast<int>(it.second->waiting.size());
+  return n;
+}
+
+BatchService::Job* BatchService::FindJob(const std::string& id) {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+// An answer is as old as its way back, so the largest difference seen is the nearest to the truth.
+void BatchService::NoteStoreTime(const StoreReply& reply) {
+  if (reply.outcome != StoreOutcome::kOk && reply.outcome != StoreOutcome::kConflict) return;
+  if (reply.store_time <= absl::ZeroDuration()) return;
+  const absl::Duration offset = reply.store_time - (loop_.Now() - absl::UnixEpoch());
+  if (!store_time_known_ || offset > store_offset_ || offset < store_offset_ - kWorstClockStep) store_offset_ = offset;
+  store_time_known_ = true;
+}
+
+absl::Duration BatchService::StoreNow() const { return loop_.Now() - absl::UnixEpoch() + store_offset_; }
+
+// ---- Acceptance -------------------------------------------------------------------------------------------
+
+void BatchService::Submit(BatchSubmission submission, Done done) {
+  const Route* route = directory_.FindRoute(submission.host, submission.path);
+  if (route == nullptr || route->kind != RouteKind::kRollout) {
+    done(directory_.policy().version == 0 ? BatchOutcome::kNotRun : BatchOutcome::kNoRoute);
+    return;
+  }
+  std::set<std::string> ids;
+  for (const BatchItem& it : submission.items) ids.insert(it.id);
+  if (submission.id.empty() || submission.items.empty() || ids.size() != submission.items.size()) {
+    done(BatchOutcome::kInvalid);
+    return;
+  }
+  if (FindJob(submission.id) != nullptr) {
+    done(BatchOutcome::kAccepted);
+    return;
+  }
+  if (!accepting_) {
+    done(BatchOutcome::kNotRun);
+    return;
+  }
+  const std::shared_ptr<Accepting> accepting = std::make_shared<Accepting>();
+  accepting->bytes = EncodeSubmission(submission);
+  accepting->submission = std::move(submission);
+  accepting->done = std::move(done);
+  accepting->give_up = loop_.Now() + settings_.accept_patience;
+  if (!store_time_known_) {
+    // The lease needs the time of the store.
+    store_.Get({std::string(kBatchTable), accepting->submission.id, std::string(kLeaseKey), "", 1},
+               [this, accepting](const StoreReply& reply) {
+                 NoteStoreTime(reply);
+                 if (!store_time_known_) {
+                   accepting->done(BatchOutcome::kNotRun);
+                   return;
+                 }
+                 WriteObjects(accepting, 0);
+               });
+    return;
+  }
+  WriteObjects(accepting, 0);
+}
+
+// A job that does not fit in one transaction lies in objects, written before the rows that name them.
+void BatchService::WriteObjects(const std::shared_ptr<Accepting>& accepting, int piece) {
+  const std::string& id = accepting->submission.id;
+  const std::size_t at = static_cast<std::size_t>(piece) * settings_.max_object_bytes;
+  if (accepting->bytes.size() <= settings_.max_commit_bytes || at >= accepting->bytes.size()) {
+    accepting->lease.owner = settings_.incarnation;
+    accepting->lease.accepted_at = StoreNow();
+    accepting->lease.valid_until = StoreNow() + settings_.lease;
+    accepting->lease.total = static_cast<std::int64_t>(accepting->submission.items.size());
+    Transaction& transaction = accepting->transaction;
+    transaction.conditions = {{{std::string(kBatchTable), id, std::string(kLeaseKey)}, 0}};
+    // An empty text stands for `piece` objects.
+    const std::string text = piece == 0 ? accepting->bytes : std::string();
+    transaction.writes = SplitIntoRows(kBatchTable, id, SubmissionKey(), text, settings_.max_row_bytes);
+    if (piece > 0) transaction.writes[0].value.push_back(static_cast<char>(piece));
+    transaction.writes.push_back({{std::string(kBatchTable), id, std::string(kLeaseKey)}, EncodeLease(accepting->lease)});
+    WriteSubmission(accepting);
+    return;
+  }
+  store_.PutObject(ObjectName(id, piece), accepting->bytes.substr(at, settings_.max_object_bytes),
+                   [this, accepting, piece](const StoreReply& reply) {
+                     if (reply.outcome == StoreOutcome::kOk || reply.outcome == StoreOutcome::kConflict) {
+                       WriteObjects(accepting, piece + 1);
+                     } else if (loop_.Now() < accepting->give_up) {
+                       loop_.After(kRetryPause, [this, accepting, piece] { WriteObjects(accepting, piece); });
+                     } else {
+                       accepting->done(BatchOutcome::kNotRun);
+                     }
+                   });
+}
+
+void BatchService::WriteSubmission(const std::shared_ptr<Accepting>& accepting) {
+  store_.Commit(accepting->transaction,
+                [this, accepting](const StoreReply& reply) { OnSubmissionWritten(accepting, reply); });
+}
+
+void BatchService::OnSubmissionWritten(const std::shared_ptr<Accepting>& accepting, const StoreReply& reply) {
+  NoteStoreTime(reply);
+  const std::string id = accepting->submission.id;
+  if (reply.outcome == StoreOutcome::kOk) {
+    LogEventLine(LogLevel::kInfo, LogEvent::kBatchAccepted,
+                 {{"job", id},
+                  {"step", accepting->submission.step},
+                  {"model", accepting->submission.model},
+                  {"min_version", accepting->submission.min_version},
+                  {"items", accepting->submission.items.size()},
+                  {"bytes", accepting->bytes.size()}});
+    if (FindJob(id) == nullptr) Own(std::move(accepting->submission), accepting->lease, reply.version);
+    accepting->done(BatchOutcome::kAccepted);
+    return;
+  }
+  if (reply.outcome == StoreOutcome::kConflict) {
+    // Accepted before: here with a lost answer, or at another host. A reader finds a lease that nobody uses.
+    accepting->done(BatchOutcome::kAccepted);
+    return;
+  }
+  if (reply.outcome == StoreOutcome::kUnknown) accepting->uncertain = true;
+  if (loop_.Now() < accepting->give_up) {
+    loop_.After(kRetryPause, [this, accepting] { WriteSubmission(accepting); });
+    return;
+  }
+  accepting->done(accepting->uncertain ? BatchOutcome::kOutcomeUnknown : BatchOutcome::kNotRun);
+}
+
+void BatchService::Own(BatchSubmission submission, const BatchLease& lease, std::int64_t lease_version) {
+  const std::string id = submission.id;
+  std::unique_ptr<Job> owned = std::make_unique<Job>(MakeJob(std::move(submission)));
+  Job& job = *owned;
+  job.lease = lease;
+  job.lease_version = lease_version;
+  job.last_commit = loop_.Now();
+  job.last_checkpoint = loop_.Now();
+  jobs_[id] = std::move(owned);
+  LoadPartials(job);
+}
+
+// ---- Takeover ---------------------------------------------------------------------------------------------
+
+void BatchService::TakeOver(const std::string& id, const BatchLease& expired, std::int64_t lease_version) {
+  if (!accepting_ || !store_time_known_ || FindJob(id) != nullptr || !taking_over_.insert(id).second) return;
+  if (expired.owner == settings_.incarnation) {
+    LoadJob(id, expired, lease_version);
+    return;
+  }
+  BatchLease lease = expired;
+  lease.owner = settings_.incarnation;
+  lease.valid_until = StoreNow() + settings_.lease;
+  Transaction transaction;
+  transaction.conditions = {{{std::string(kBatchTable), id, std::string(kLeaseKey)}, lease_version},
+                            {{std::string(kBatchTable), id, std::string(kEndedKey)}, 0}};
+  transaction.writes = {{{std::string(kBatchTable), id, std::string(kLeaseKey)}, EncodeLease(lease)}};
+  LogEventLine(LogLevel::kInfo, LogEvent::kBatchTakeover,
+               {{"job", id}, {"former_owner", expired.owner}, {"listed", expired.listed}, {"total", expired.total}});
+  store_.Commit(transaction, [this, id, lease](const StoreReply& reply) {
+    NoteStoreTime(reply);
+    if (reply.outcome == StoreOutcome::kOk) {
+      LoadJob(id, lease, reply.version);
+    } else {
+      taking_over_.erase(id);
+    }
+  });
+}
+
+void BatchService::LoadJob(const std::string& id, const BatchLease& lease, std::int64_t lease_version) {
+  FetchRange({std::string(kBatchTable), id, SubmissionKey(), std::string(kAllKeysEnd), 0}, {},
+             [this, id, lease, lease_version](StoreOutcome outcome, std::vector<Row> rows) {
+               if (outcome != StoreOutcome::kOk) {
+                 taking_over_.erase(id);
+                 return;
+               }
+               OnJobRows(id, lease, lease_version, std::move(rows));
+             });
+}
+
+void BatchService::OnJobRows(const std::string& id, const BatchLease& lease, std::int64_t lease_version,
+                             std::vector<Row> rows) {
+  FetchSubmission(id, rows, [this, id, lease, lease_version, rows](StoreOutcome outcome,
+                                                                   std::optional<BatchSubmission> submission) {
+    taking_over_.erase(id);
+    if (outcome != StoreOutcome::kOk || !submission || FindJob(id) != nullptr || !accepting_) return;
+    std::set<std::string> listed;
+    for (std::size_t at = 0; at < rows.size();) {
+      const std::size_t row = at;
+      if (!ResultPosition(rows[row].id.key)) {
+        ++at;
+        continue;
+      }
+      const std::optional<std::string> bytes = JoinRows(rows, at);
+      const std::optional<ItemResult> result = bytes ? DecodeResult(*bytes) : std::nullopt;
+      if (!result) {
+        LogEventLine(LogLevel::kError, LogEvent::kRecordUnreadable, {{"job", id}, {"key", rows[row].id.key}});
+        return;
+      }
+      listed.insert(result->item);
+    }
+    Own(std::move(*submission), lease, lease_version);
+    Job& job = *FindJob(id);
+    job.lease.listed = static_cast<std::int64_t>(listed.size());
+    for (Item& it : job.items) {
+      if (!listed.contains(it.spec.id)) continue;
+      it.phase = Phase::kListed;
+      job.waiting.erase(it.rank);
+      --job.unlisted;
+    }
+  });
+}
+
+void BatchService::FetchRange(RowRange range, std::vector<Row> rows,
+                              std::function<void(StoreOutcome, std::vector<Row>)> done) {
+  store_.Get(range, [this, range, rows = std::move(rows), done = std::move(done)](const StoreReply& reply) mutable {
+    NoteStoreTime(reply);
+    if (reply.outcome != StoreOutcome::kOk) {
+      done(reply.outcome, {});
+      return;
+    }
+    rows.insert(rows.end(), reply.rows.begin(), reply.rows.end());
+    if (!reply.has_more || reply.rows.empty()) {
+      done(StoreOutcome::kOk, std::move(rows));
+      return;
+    }
+    RowRange rest = range;
+    rest.from = rows.back().id.key + std::string(1, '\0');
+    FetchRange(std::move(rest), std::move(rows), std::move(done));
+  });
+}
+
+void BatchService::FetchSubmission(const std::string& id, std::vector<Row> rows,
+                                   std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done) {
+  std::size_t at = 0;
+  if (rows.empty() || rows[0].id.key != SubmissionKey()) {
+    done(StoreOutcome::kOk, std::nullopt);
+    return;
+  }
+  const std::optional<std::string> bytes = JoinRows(rows, at);
+  if (bytes && bytes->size() == 1) {
+    FetchObjects(id, static_cast<unsigned char>((*bytes)[0]), "", std::move(done));
+    return;
+  }
+  done(StoreOutcome::kOk, bytes ? DecodeSubmission(*bytes) : std::nullopt);
+}
+
+void BatchService::FetchObjects(const std::string& id, int count, std::string bytes,
+                                std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done) {
+  const int piece = static_cast<int>((bytes.size() + settings_.max_object_bytes - 1) / settings_.max_object_bytes);
+  if (piece >= count) {
+    done(StoreOutcome::kOk, DecodeSubmission(bytes));
+    return;
+  }
+  store_.GetObject(ObjectName(id, piece),
+                   [this, id, count, bytes = std::move(bytes), done = std::move(done)](const StoreReply& reply) mutable {
+                     if (reply.outcome != StoreOutcome::kOk || reply.rows.empty() || reply.rows[0].value.empty()) {
+                       done(reply.outcome == StoreOutcome::kOk ? StoreOutcome::kUnknown : reply.outcome, std::nullopt);
+                       return;
+                     }
+                     bytes += reply.rows[0].value;
+                     FetchObjects(id, count, std::move(bytes), std::move(done));
+                   });
+}
+
+// ---- Readers ----------------------------------------------------------------------------------------------
+
+void BatchService::Read(const std::string& job, std::int64_t after, absl::Duration wait, PageDone done) {
+  const std::shared_ptr<Reading> reading = std::make_shared<Reading>();
+  reading->job = job;
+  reading->after = std::max<std::int64_t>(0, after);
+  reading->wait_until = loop_.Now() + wait;
+  reading->give_up = loop_.Now() + kReadPatience;
+  reading->done = std::move(done);
+  ReadOnce(reading);
+}
+
+void BatchService::ReadOnce(const std::shared_ptr<Reading>& reading) {
+  const RowRange range = {std::string(kBatchTable), reading->job, ResultKey(reading->after), std::string(kAllKeysEnd), 0};
+  store_.Get(range, [this, reading](const StoreReply& reply) {
+    NoteStoreTime(reply);
+    if (reply.outcome != StoreOutcome::kOk) {
+      if (loop_.Now() >= reading->give_up) {
+        reading->done(BatchOutcome::kUnsure, {});
+      } else {
+        loop_.After(kRetryPause, [this, reading] { ReadOnce(reading); });
+      }
+      return;
+    }
+    BatchPage page;
+    page.next = reading->after;
+    std::optional<BatchLease> lease;
+    std::int64_t lease_version = 0;
+    bool ended = false;
+    std::size_t bytes = 0;
+    for (std::size_t at = 0; at < reply.rows.size();) {
+      const Row& row = reply.rows[at];
+      if (row.id.key == kLeaseKey) {
+        lease = DecodeLease(row.value);
+        lease_version = row.version;
+        ++at;
+      } else if (row.id.key == kEndedKey) {
+        ended = true;
+        ++at;
+      } else if (ResultPosition(row.id.key) == page.next && bytes < settings_.max_page_bytes) {
+        const std::optional<std::string> value = JoinRows(reply.rows, at);
+        std::optional<ItemResult> result = value ? DecodeResult(*value) : std::nullopt;
+        if (!result) break;  // its last rows are in the next answer of the store
+        if (!page.results.empty() && bytes + value->size() > settings_.max_page_bytes) {
+          bytes = settings_.max_page_bytes;
+          continue;
+        }
+        bytes += value->size();
+        page.results.push_back(std::move(*result));
+        ++page.next;
+      } else {
+        ++at;
+      }
+    }
+    if (!lease && reply.has_more) {
+      // The answer was full before it came to the lease, which holds the total.
+      store_.Get({std::string(kBatchTable), reading->job, std::string(kLeaseKey), std::string(kAllKeysEnd), 1},
+                 [reading, page](const StoreReply& rest) mutable {
+                   const std::optional<BatchLease> found =
+                       rest.rows.empty() ? std::nullopt : DecodeLease(rest.rows[0].value);
+                   if (found) page.total = found->total;
+                   reading->done(found ? BatchOutcome::kOk : BatchOutcome::kUnsure, page);
+                 });
+      return;
+    }
+    if (!lease) {
+      reading->done(BatchOutcome::kNotFound, {});
+      return;
+    }
+    page.total = lease->total;
+    if (!ended && !lease->finished && reply.store_time > lease->valid_until + kTakeOverMargin) {
+      TakeOver(reading->job, *lease, lease_version);
+    }
+    const bool nothing_to_come = ended || (lease->finished && page.next >= lease->listed);
+    if (!page.results.empty() || nothing_to_come || loop_.Now() >= reading->wait_until) {
+      reading->done(BatchOutcome::kOk, page);
+      return;
+    }
+    reading->give_up = std::max(reading->give_up, loop_.Now() + kReadPatience);
+    loop_.After(std::min(settings_.poll_every, reading->wait_until - loop_.Now()), [this, reading] { ReadOnce(reading); });
+  });
+}
+
+void BatchService::ItemBody(const std::string& job, const std::string& item, BodyDone done) {
+  const Job* owned = FindJob(job);
+  if (owned != nullptr) {
+    for (const Item& it : owned->items) {
+      if (it.spec.id != item) continue;
+      done(BatchOutcome::kOk, it.spec.body);
+      return;
+    }
+    done(BatchOutcome::kNotFound, "");
+    return;
+  }
+  FetchRange({std::string(kBatchTable), job, SubmissionKey(), "b", 0}, {},
+             [this, job, item, done](StoreOutcome outcome, std::vector<Row> rows) {
+               if (outcome != StoreOutcome::kOk) {
+                 done(BatchOutcome::kUnsure, "");
+                 return;
+               }
+               FetchSubmission(job, std::move(rows),
+                               [item, done](StoreOutcome fetched, std::optional<BatchSubmission> submission) {
+                                 if (fetched != StoreOutcome::kOk) {
+                                   done(BatchOutcome::kUnsure, "");
+                                   return;
+                                 }
+                                 if (submission) {
+                                   for (BatchItem& it : submission->items) {
+                                     if (it.id != item) continue;
+                                     done(BatchOutcome::kOk, std::move(it.body));
+                                     return;
+                                   }
+                                 }
+                                 done(BatchOutcome::kNotFound, "");
+                               });
+             });
+}
+
+void BatchService::End(const std::string& job, Done done) {
+  struct Ending {
+    int tries = 0;
+    bool exists = false;
+    std::function<void()> step;
+  };
+  const std::shared_ptr<Ending> ending = std::make_shared<Ending>();
+  ending->exists = FindJob(job) != nullptr;
+  const std::function<void(BatchOutcome)> finish = [ending, done](BatchOutcome outcome) {
+    done(outcome);
+    ending->step = nullptr;  // breaks the cycle of references
+  };
+  const std::function<void()> again = [this, ending, finish] {
+    if (++ending->tries >= kMaxEndTries) {
+      finish(BatchOutcome::kUnsure);
+      return;
+    }
+    loop_.After(kRetryPause, [ending] {
+      if (ending->step) ending->step();
+    });
+  };
+  ending->step = [this, job, ending, finish, again] {
+    if (!ending->exists) {
+      store_.Get({std::string(kBatchTable), job, std::string(kLeaseKey), std::string(kAllKeysEnd), 1},
+                 [this, ending, finish, again](const StoreReply& reply) {
+                   NoteStoreTime(reply);
+                   if (reply.outcome != StoreOutcome::kOk) {
+                     again();
+                   } else if (reply.rows.empty()) {
+                     finish(BatchOutcome::kNotFound);
+                   } else {
+                     ending->exists = true;
+                     ending->step();
+                   }
+                 });
+      return;
+    }
+    Transaction transaction;
+    transaction.writes = {{{std::string(kBatchTable), job, std::string(kEndedKey)}, "1"}};
+    store_.Commit(transaction, [this, job, finish, again](const StoreReply& reply) {
+      NoteStoreTime(reply);
+      if (reply.outcome != StoreOutcome::kOk) {
+        again();
+        return;
+      }
+      LogEventLine(LogLevel::kInfo, LogEvent::kBatchEnded, {{"job", job}, {"owned", FindJob(job) != nullptr}});
+      Job* owned = FindJob(job);
+      if (owned != nullptr) Finish(*owned);
+      finish(BatchOutcome::kOk);
+    });
+  };
+  ending->step();
+}
+
+// ---- Results ----------------------------------------------------------------------------------------------
+
+void BatchService::CommitResults(Job& job) {
+  if (job.commit_in_flight) return;
+  const std::string& id = job.submission.id;
+  if (!job.attempt) {
+    BatchLease lease = job.lease;
+    lease.valid_until = StoreNow() + settings_.lease;
+    Transaction transaction;
+    transaction.conditions = {{{std::string(kBatchTable), id, std::string(kLeaseKey)}, job.lease_version},
+                              {{std::string(kBatchTable), id, std::string(kEndedKey)}, 0}};
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    for (const ItemResult& it : job.pending) {
+      std::vector<RowWrite> rows = SplitIntoRows(
+          kBatchTable, id, ResultKey(lease.listed + static_cast<std::int64_t>(count)), EncodeResult(it), settings_.max_row_bytes);
+      std::size_t size = 0;
+      for (const RowWrite& row : rows) size += row.value.size();
+      if (count > 0 && (bytes + size > settings_.max_commit_bytes ||
+                        transaction.writes.size() + rows.size() > kMaxRowsInCommit)) {
+        break;
+      }
+      bytes += size;
+      ++count;
+      for (RowWrite& row : rows) transaction.writes.push_back(std::move(row));
+    }
+    lease.listed += static_cast<std::int64_t>(count);
+    lease.finished = lease.listed >= lease.total;
+    if (job.handing_over && count == job.pending.size()) {
+      lease.owner.clear();
+      lease.valid_until = absl::ZeroDuration();
+    }
+    transaction.writes.push_back({{std::string(kBatchTable), id, std::string(kLeaseKey)}, EncodeLease(lease)});
+    job.attempt = std::move(transaction);
+    job.attempt_lease = lease;
+    job.attempt_results = count;
+  }
+  job.commit_in_flight = true;
+  store_.Commit(*job.attempt, [this, id](const StoreReply& reply) { OnResultsCommitted(id, reply); });
+}
+
+void BatchService::OnResultsCommitted(const std::string& id, const StoreReply& reply) {
+  NoteStoreTime(reply);
+  Job* const found = FindJob(id);
+  if (found == nullptr || !found->commit_in_flight) return;
+  Job& job = *found;
+  job.commit_in_flight = false;
+  std::int64_t committed_version = reply.outcome == StoreOutcome::kOk ? reply.version : 0;
+  if (reply.outcome == StoreOutcome::kConflict) {
+    for (const Row& it : reply.rows) {
+      if (it.id.key == kEndedKey && it.version != 0) {
+        Finish(job);
+        return;
+      }
+    }
+    for (const Row& it : reply.rows) {
+      if (it.id.key != kLeaseKey || it.version == 0) continue;
+      if (it.value == EncodeLease(job.attempt_lease)) {
+        committed_version = it.version;  // the write took effect and its answer was lost
+      } else if (it.value == EncodeLease(job.lease)) {
+        job.lease_version = it.version;
+        job.last_commit = loop_.Now();
+        return;
+      }
+    }
+    if (committed_version == 0) {
+      Drop(id, "lease_lost");
+      return;
+    }
+  }
+  if (committed_version == 0) {
+    // Refused or unknown: the same bytes again, so that a late effect of this write is recognized.
+    job.retry_at = loop_.Now() + kRetryPause;
+    return;
+  }
+  job.lease = job.attempt_lease;
+  job.lease_version = committed_version;
+  job.attempt.reset();
+  job.pending.erase(job.pending.begin(), job.pending.begin() + static_cast<std::ptrdiff_t>(job.attempt_results));
+  job.last_commit = loop_.Now();
+  if (job.lease.finished) {
+    Drop(id, "finished");
+  } else if (job.lease.owner.empty()) {
+    Drop(id, "handed_over");
+  }
+}
+
+// The job was ended: what runs is stopped, and its text kept for a later job with the same items.
+void BatchService::Finish(Job& job) {
+  const std::string id = job.submission.id;
+  for (Item& it : job.items) {
+    if (it.phase == Phase::kRunning) StopRun(job, it);
+  }
+  Checkpoint(job, true, [] {});
+  Drop(id, "ended");
+}
+
+void BatchService::Drop(const std::string& id, std::string_view reason) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  Job& job = *it->second;
+  for (Item& item : job.items) {
+    if (item.phase == Phase::kRunning) StopRun(job, item);
+  }
+  LogEventLine(LogLevel::kInfo, LogEvent::kBatchReleased,
+               {{"job", id}, {"reason", reason}, {"listed", job.lease.listed}, {"total", job.lease.total}});
+  jobs_.erase(it);
+}
+
+void BatchService::HandOver(std::function<void()> done) {
+  accepting_ = false;
+  const absl::Time give_up = loop_.Now() + kHandOverPatience;
+  for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) {
+    Job& job = *it.second;
+    for (Item& item : job.items) {
+      if (item.phase == Phase::kRunning) StopRun(job, item);
+    }
+    const std::string id = it.first;
+    job.frozen = true;
+    Checkpoint(job, true, [this, id] {
+      Job* const handed = FindJob(id);
+      if (handed != nullptr) handed->handing_over = true;
+    });
+  }
+  const std::shared_ptr<std::function<void()>> wait = std::make_shared<std::function<void()>>();
+  *wait = [this, wait, done = std::move(done), give_up] {
+    Tick();
+    if (jobs_.empty() || loop_.Now() >= give_up) {
+      done();
+      loop_.After(absl::ZeroDuration(), [wait] { *wait = nullptr; });
+      return;
+    }
+    loop_.After(absl::Milliseconds(10), [wait] {
+      if (*wait) (*wait)();
+    });
+  };
+  (*wait)();
+}
+
+}  // namespace oleander::serving
--- /dev/null
+++ b/src/serving/decisions.cc
@@ -0,0 +1,193 @@
+#include "serving/decisions.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace oleander::serving {
+namespace {
+
+constexpr double kDefaultLatencyMs = 20;                          // of an upstream not yet measured
+constexpr absl::Duration kLatencyMemory = absl::Seconds(1);       // an old average returns to the mean of the others
+constexpr double kOtherZoneMs = 2;                                // round trip to another zone
+constexpr double kHedgeShare = 0.4;                               // of the objective
+constexpr absl::Duration kLoadMemory = absl::Milliseconds(800);   // a report of others' work older than this is ignored
+constexpr double kLeastRetryAfter = 0.1;                          // seconds
+constexpr double kRetryAfterSpread = 0.3;                         // seconds
+constexpr double kRetryShareOfTimeLeft = 0.3;                     // callers wait at most a third of it
+constexpr absl::Duration kGapMemory = absl::Milliseconds(1500);   // averages older than this say nothing
+constexpr double kSlowFactor = 1.8;                               // times the usual gap
+constexpr int kEventsToJudge = 6;                                 // events of a run before its pace is judged
+constexpr absl::Duration kSilenceFloor = absl::Milliseconds(600); // weights loads pause a stream for longer than noise
+constexpr double kSilenceFactor = 12;                             // times the usual gap
+
+// 1 for a fresh observation, 0 for one that is much older than `memory`.
+double Freshness(absl::Time at, absl::Time now, absl::Duration memory) {
+  return std::exp(-absl::FDivDuration(now - at, memory));
+}
+
+bool Contains(const std::vector<std::string>& list, const std::string& value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+}  // namespace
+
+std::uint64_t HashText(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+
+int EstimateRunning(const UpstreamState& upstream, absl::Time now) {
+  int others = 0;
+  if (now - upstream.load_at <= kLoadMemory) {
+    others = std::max(0, upstream.load.running + upstream.load.waiting - upstream.in_flight_at_load);
+  }
+  return upstream.in_flight + others;
+}
+
+UpstreamState* PickUnary(const std::vector<UpstreamState*>& usable, const UnaryChoice& choice) {
+  double sum = 0;
+  int known = 0;
+  for (const UpstreamState* it : usable) {
+    if (it->latency_ms <= 0) continue;
+    sum += it->latency_ms;
+    ++known;
+  }
+  const double usual = known == 0 ? kDefaultLatencyMs : sum / known;
+  UpstreamState* best = nullptr;
+  double best_cost = 0;
+  for (UpstreamState* it : usable) {
+    if (Contains(choice.tried, it->entry.id)) continue;
+    const double fresh = it->latency_ms <= 0 ? 0 : Freshness(it->latency_at, choice.now, kLatencyMemory);
+    const double latency = usual + (it->latency_ms - usual) * fresh;
+    const double slots = std::max(1, it->entry.slots);
+    double cost = std::max(1.0, latency) * (1 + EstimateRunning(*it, choice.now) / slots);
+    if (it->entry.zone != choice.zone) cost += kOtherZoneMs;
+    // An upstream that is being avoided is taken only if no other is left.
+    if (choice.now < it->avoid_until) cost += 1e6 + absl::ToDoubleMilliseconds(it->avoid_until - choice.now);
+    if (best == nullptr || cost < best_cost) {
+      best = it;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+absl::Duration HedgeAfter(absl::Duration objective) { return objective * kHedgeShare; }
+
+double RetryAfterSeconds(absl::Duration time_left, std::string_view spread) {
+  const double unit = static_cast<double>(HashText(spread) >> 11) / static_cast<double>(1ULL << 53);
+  const double most = absl::ToDoubleSeconds(time_left) * kRetryShareOfTimeLeft;
+  return std::min(kLeastRetryAfter + kRetryAfterSpread * unit, std::max(0.0, most));
+}
+
+UpstreamState* PickForItem(const std::vector<UpstreamState*>& usable, const ItemChoice& choice) {
+  UpstreamState* best = nullptr;
+  double best_cost = 0;
+  for (UpstreamState* it : usable) {
+    const std::int64_t held = WeightsOf(*it, choice.model);
+    if (held < choice.min_version) continue;
+    if (choice.exact_version != 0 && held != choice.exact_version) continue;
+    if (choice.now < it->avoid_until) continue;
+    const auto loading = it->loading_until.find(choice.model);
+    if (loading != it->loading_until.end() && choice.now < loading->second) continue;
+    const int slots = std::max(1, it->entry.slots);
+    const int running = EstimateRunning(*it, choice.now);
+    if (running >= slots) continue;
+    double cost = static_cast<double>(running) / slots;
+    const double fresh = Freshness(it->gap_at, choice.now, kGapMemory);
+    cost += fresh * it->gap_ms / 100.0;
+    if (it->entry.id == choice.preferred) cost -= 0.25;
+    if (it->entry.id == choice.avoided) cost += 1;
+    if (it->entry.zone != choice.zone) cost += 0.05;
+    if (choice.prefer_newest && held > choice.min_version) cost -= 0.5;
+    if (best == nullptr || cost < best_cost) {
+      best = it;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+double MedianGap(const std::vector<UpstreamState*>& usable, absl::Time now) {
+  std::vector<double> gaps;
+  for (const UpstreamState* it : usable) {
+    if (it->gap_ms > 0 && now - it->gap_at <= 4 * kGapMemory) gaps.push_back(it->gap_ms);
+  }
+  if (gaps.empty()) return 0;
+  const std::size_t middle = gaps.size() / 2;
+  std::nth_element(gaps.begin(), gaps.begin() + static_cast<std::ptrdiff_t>(middle), gaps.end());
+  return gaps[middle];
+}
+
+bool ShouldMoveRun(const RunProgress& run, double gap_ms, double usual_gap_ms, bool other_has_room) {
+  if (!other_has_room || usual_gap_ms <= 0) return false;
+  const absl::Duration silence = std::max(kSilenceFloor, absl::Milliseconds(usual_gap_ms * kSilenceFactor));
+  if (run.since_last_event >= silence) return true;
+  return run.events >= kEventsToJudge && gap_ms >= kSlowFactor * usual_gap_ms;
+}
+
+int MostLoadsAtOnce(int engines) { return std::max(1, static_cast<int>(std::lround(engines / 5.0))); }
+
+LoadChoice PickLoad(const std::vector<EngineWeights>& engines, const std::map<std::string, std::int64_t>& named,
+                    const std::map<std::string, std::vector<std::string>>& assigned, int most_at_once,
+                    absl::Time now) {
+  int loading = 0;
+  for (const EngineWeights& it : engines) loading += it.loading ? 1 : 0;
+  if (loading >= most_at_once) return {};
+
+  struct Candidate {
+    std::int64_t behind;  // versions
+    int running;
+    LoadChoice load;
+  };
+  std::vector<Candidate> candidates;
+  for (const std::pair<const std::string, std::int64_t>& name : named) {
+    const auto holders = assigned.find(name.first);
+    if (holders == assigned.end() || holders->second.empty()) continue;
+    int newest = 0;
+    for (const EngineWeights& it : engines) {
+      if (!Contains(holders->second, it.id)) continue;
+      const auto held = it.held.find(name.first);
+      if (held != it.held.end() && held->second >= name.second) ++newest;
+    }
+    const int half = (static_cast<int>(holders->second.size()) + 1) / 2;
+    for (const EngineWeights& it : engines) {
+      if (it.loading || now < it.blocked_until || !Contains(holders->second, it.id)) continue;
+      const auto held = it.held.find(name.first);
+      const std::int64_t behind = name.second - (held == it.held.end() ? 0 : held->second);
+      if (behind <= 0 || (behind == 1 && newest >= half)) continue;
+      candidates.push_back({behind, it.running, {it.id, name.first, name.second}});
+    }
+  }
+  const auto first = std::min_element(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+    if ((a.behind > 1) != (b.behind > 1)) return a.behind > 1;
+    if (a.running != b.running) return a.running < b.running;
+    return a.load.engine < b.load.engine;
+  });
+  return first == candidates.end() ? LoadChoice{} : first->load;
+}
+
+std::map<std::string, std::vector<std::string>> AssignModels(const std::vector<std::string>& engines,
+                                                             const std::vector<std::string>& models, double copies) {
+  std::map<std::string, std::vector<std::string>> assigned;
+  if (engines.empty() || models.empty()) return assigned;
+  const double share = std::min(1.0, copies / static_cast<double>(models.size()));
+  const int each = std::max(1, static_cast<int>(std::ceil(share * static_cast<double>(engines.size()) - 1e-9)));
+  std::map<std::string, int> models_of;
+  for (const std::string& model : models) {
+    std::vector<std::pair<std::pair<int, std::uint64_t>, std::string>> order;
+    for (const std::string& it : engines) order.push_back({{models_of[it], HashText(absl::StrCat(model, "/", it))}, it});
+    std::sort(order.begin(), order.end());
+    for (int it = 0; it < each && it < static_cast<int>(order.size()); ++it) {
+      assigned[model].push_back(order[it].second);
+      ++models_of[order[it].second];
+    }
+  }
+  return assigned;
+}
+
+}  // namespace oleander::serving
--- /dev/null
+++ b/src/serving/decisions.h
@@ -0,0 +1,101 @@
+// The decisions of the serving core: pure functions over plain structs. Each names the load it answers.
+#ifndef OLEANDER_SRC_SERVING_DECISIONS_H_
+#define OLEANDER_SRC_SERVING_DECISIONS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "serving/directory.h"
+
+namespace oleander::serving {
+
+// ---- Unary calls ------------------------------------------------------------------------------------------
+
+struct UnaryChoice {
+  std::string zone;                       // of this host
+  std::vector<std::string> tried;         // upstreams that already had this request
+  absl::Time now;                         //
+};
+// The upstream with the lowest expected answer time, or nullptr. Load answered: one of a few upstreams that is
+// slow for seconds while its load report is late; its own latency average moves work away, and returns to the
+// mean of the others within seconds, so that it is tried again.
+UpstreamState* PickUnary(const std::vector<UpstreamState*>& usable, const UnaryChoice& choice);
+
+// When a second upstream gets an idempotent request that is still unanswered: at this share of its objective.
+// Load answered: a lost answer or a stalled upstream; the healthy tail is shorter, so few requests are hedged.
+absl::Duration HedgeAfter(absl::Duration objective);
+
+// What a refused caller is told to wait, in seconds. Spread by the request's id, so that callers that were
+// refused together do not return together.
+double RetryAfterSeconds(absl::Duration time_left, std::string_view spread);
+// A hash that all hosts compute alike.
+std::uint64_t HashText(std::string_view text);
+
+// ---- Items of batch jobs ----------------------------------------------------------------------------------
+
+struct ItemChoice {
+  std::string model;                  //
+  std::int64_t min_version = 0;       // oldest weights that may run it
+  std::int64_t exact_version = 0;     // 0: any from min_version on
+  std::string zone;                   // of this host
+  std::string avoided;                // upstream that just failed it; empty: none
+  std::string preferred;              // upstream that has read the group's prompt; empty: none
+  bool prefer_newest = false;         // the text may be used again under a later min_version
+  absl::Time now;                     //
+};
+// An upstream with a free slot that holds usable weights, or nullptr: the item waits here, where it can still
+// be placed on whichever upstream is free first. Load answered: a step's items that come all at once, several
+// times the slots.
+UpstreamState* PickForItem(const std::vector<UpstreamState*>& usable, const ItemChoice& choice);
+
+// Requests that an upstream has now, as far as this host can tell: its own, and those of others by a recent
+// report.
+int EstimateRunning(const UpstreamState& upstream, absl::Time now);
+
+struct RunProgress {
+  absl::Duration since_last_event;  // or since the start
+  int events = 0;                   // of this run
+  absl::Duration age;               // of this run
+};
+// True if a run should be broken off and continued elsewhere from its last event. `usual_gap_ms` is the median
+// over the upstreams of the service. Load answered: an engine that turns slow or silent for seconds while a
+// step's last items run there.
+bool ShouldMoveRun(const RunProgress& run, double gap_ms, double usual_gap_ms, bool other_has_room);
+
+double MedianGap(const std::vector<UpstreamState*>& usable, absl::Time now);
+
+// ---- Weights ----------------------------------------------------------------------------------------------
+
+struct EngineWeights {
+  std::string id;                               //
+  std::map<std::string, std::int64_t> held;     // version by model
+  bool loading = false;                         // an order is in progress
+  absl::Time blocked_until = absl::InfinitePast();  // do not order before
+  int running = 0;                              // requests
+};
+struct LoadChoice {
+  std::string engine;  // empty: nothing to load now
+  std::string model;   //
+  std::int64_t version = 0;
+};
+// The next load, given how many are in progress. Steps accept the version before the named one, so half of a
+// model's engines load each version, in turn: an engine that holds the one before goes on serving.
+// Engines that are too old for the next step come first, the least busy of them first.
+LoadChoice PickLoad(const std::vector<EngineWeights>& engines, const std::map<std::string, std::int64_t>& named,
+                    const std::map<std::string, std::vector<std::string>>& assigned, int most_at_once, absl::Time now);
+
+// Loads of weights slow each other beyond one engine in five.
+int MostLoadsAtOnce(int engines);
+
+// The engines that hold each model, `copies` of the engines' count shared among the models: 1 assigns each engine to one
+// model. Stable: an engine keeps its models when others come or go, as far as the shares allow.
+std::map<std::string, std::vector<std::string>> AssignModels(const std::vector<std::string>& engines,
+                                                             const std::vector<std::string>& models, double copies);
+
+}  // namespace oleander::serving
+
+#endif  // OLEANDER_SRC_SERVING_DECISIONS_H_
--- /dev/null
+++ b/src/serving/directory.cc
@@ -0,0 +1,155 @@
+#include "serving/directory.h"
+#include "serving/text.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+
+namespace oleander::serving {
+namespace {
+
+constexpr double kLatencyWeight = 0.2;  // of a new sample in the moving average
+constexpr double kGapWeight = 0.15;     // events come in bursts after a pause, so single gaps say little
+constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(150);
+constexpr absl::Duration kLongestAvoidance = absl::Seconds(2);
+constexpr int kMostDoublings = 4;
+
+}  // namespace
+
+bool Directory::ApplyPolicy(Policy policy) {
+  if (policy.version <= policy_.version) return false;
+  policy_ = std::move(policy);
+  return true;
+}
+
+const Route* Directory::FindRoute(std::string_view host, std::string_view target) const {
+  const std::string_view path = target.substr(0, target.find('?'));
+  const Route* best = nullptr;
+  for (const Route& it : policy_.routes) {
+    if (!EqualsIgnoreCase(it.host, host) || !path.starts_with(it.prefix)) continue;
+    if (best == nullptr || it.prefix.size() > best->prefix.size()) best = &it;
+  }
+  return best;
+}
+
+const Route* Directory::FindRouteByName(std::string_view name) const {
+  for (const Route& it : policy_.routes) {
+    if (it.name == name) return &it;
+  }
+  return nullptr;
+}
+
+const ServiceSpec* Directory::FindService(std::string_view name) const {
+  for (const ServiceSpec& it : policy_.services) {
+    if (it.name == name) return &it;
+  }
+  return nullptr;
+}
+
+void Directory::ApplyUpstream(const UpstreamEntry& entry) {
+  UpstreamState& state = upstreams_[entry.id];
+  // A new start under an old id knows nothing of before; calls in progress keep their count.
+  if (state.entry.started_ms != entry.started_ms) {
+    const int in_flight = state.in_flight;
+    state = UpstreamState();
+    state.in_flight = in_flight;
+  }
+  state.entry = entry;
+  state.listed = true;
+  state.removal_due = absl::InfiniteFuture();
+  for (const std::pair<const std::string, std::int64_t>& it : entry.weights) {
+    std::int64_t& observed = state.observed_weights[it.first];
+    observed = std::max(observed, it.second);
+  }
+}
+
+void Directory::RemoveUpstream(const std::string& id, absl::Time now, absl::Time due) {
+  const auto it = upstreams_.find(id);
+  if (it == upstreams_.end()) return;
+  it->second.removal_due = std::min(it->second.removal_due, due);
+  if (it->second.removal_due <= now) it->second.listed = false;
+}
+
+void Directory::ApplyList(const std::vector<UpstreamEntry>& entries, absl::Time now, absl::Time due) {
+  std::set<std::string> present;
+  for (const UpstreamEntry& it : entries) {
+    present.insert(it.id);
+    ApplyUpstream(it);
+  }
+  for (std::pair<const std::string, UpstreamState>& it : upstreams_) {
+    if (!present.contains(it.first)) RemoveUpstream(it.first, now, due);
+  }
+}
+
+void Directory::Expire(absl::Time now) {
+  for (auto it = upstreams_.begin(); it != upstreams_.end();) {
+    if (it->second.removal_due <= now) it->second.listed = false;
+    if (!it->second.listed && it->second.in_flight == 0) {
+      it = upstreams_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+UpstreamState* Directory::Find(const std::string& id) {
+  const auto it = upstreams_.find(id);
+  return it == upstreams_.end() ? nullptr : &it->second;
+}
+
+std::vector<UpstreamState*> Directory::Usable(std::string_view service) {
+  std::vector<UpstreamState*> usable;
+  for (std::pair<const std::string, UpstreamState>& it : upstreams_) {
+    if (it.second.listed && !it.second.entry.draining && it.second.entry.service == service) {
+      usable.push_back(&it.second);
+    }
+  }
+  return usable;
+}
+
+void Directory::NameVersion(const std::string& model, std::int64_t version) {
+  std::int64_t& named = named_versions_[model];
+  named = std::max(named, version);
+}
+
+std::int64_t WeightsOf(const UpstreamState& upstream, const std::string& model) {
+  const auto it = upstream.observed_weights.find(model);
+  return it == upstream.observed_weights.end() ? 0 : it->second;
+}
+
+void ObserveHead(UpstreamState& upstream, const AnswerHead& head, const std::string& model, absl::Time now) {
+  if (head.load) {
+    upstream.load = *head.load;
+    upstream.load_at = now;
+    upstream.in_flight_at_load = upstream.in_flight;
+  }
+  // What an engine says of its weights with an answer is newer than the list.
+  if (head.weights && !model.empty() && *head.weights > 0) upstream.observed_weights[model] = *head.weights;
+}
+
+void ObserveLatency(UpstreamState& upstream, absl::Duration latency, absl::Time now) {
+  const double ms = absl::ToDoubleMilliseconds(latency);
+  upstream.latency_ms =
+      upstream.latency_ms == 0 ? ms : upstream.latency_ms + kLatencyWeight * (ms - upstream.latency_ms);
+  upstream.latency_at = now;
+}
+
+void ObserveEventGap(UpstreamState& upstream, absl::Duration gap, absl::Time now) {
+  const double ms = absl::ToDoubleMilliseconds(gap);
+  upstream.gap_ms = upstream.gap_ms == 0 ? ms : upstream.gap_ms + kGapWeight * (ms - upstream.gap_ms);
+  upstream.gap_at = now;
+}
+
+void ObserveFailure(UpstreamState& upstream, absl::Time now) {
+  const int doublings = std::min(upstream.failures_in_row, kMostDoublings);
+  ++upstream.failures_in_row;
+  upstream.avoid_until = now + std::min(kLongestAvoidance, kFirstAvoidance * (1 << doublings));
+}
+
+void ObserveSuccess(UpstreamState& upstream) {
+  upstream.failures_in_row = 0;
+  upstream.avoid_until = absl::InfinitePast();
+}
+
+}  // namespace oleander::serving
--- /dev/null
+++ b/src/serving/entry_settings.cc
@@ -0,0 +1,77 @@
+#include "oleander/entry_settings.h"
+
+#include <fstream>
+#include <iterator>
+#include <vector>
+
+#include "absl/strings/str_join.h"
+#include "contracts/strict_json.h"
+#include "serving/http_address.h"
+
+namespace oleander {
+namespace {
+
+constexpr std::size_t kMaxTextBytes = 200;
+constexpr int kMaxPort = 65535;
+constexpr double kMaxSeconds = 600;
+
+void ReadAddress(ObjectReader& reader, const std::string& key, std::string& value) {
+  const std::size_t kept = value.size();
+  reader.Read(key, value, 1, kMaxTextBytes, Presence::kRequired);
+  if (value.size() != kept && !serving::ParseAddress(value)) reader.Problem(key, value, "an IP number and a port");
+}
+
+void ReadSeconds(ObjectReader& reader, const std::string& key, absl::Duration& value, double unit_s) {
+  double number = absl::ToDoubleSeconds(value) / unit_s;
+  reader.Read(key, number, 0, kMaxSeconds / unit_s, true, Presence::kRequired);
+  value = absl::Seconds(number * unit_s);
+}
+
+}  // namespace
+
+leaf::result<EntrySettings> ParseEntrySettings(const std::string& text) {
+  BOOST_LEAF_AUTO(json, ParseJson(text, ErrorKind::kInvalidRequest));
+  EntrySettings settings;
+  std::vector<std::string> problems;
+  ObjectReader reader(json, "", problems);
+  reader.Read("host", settings.host, 1, kMaxTextBytes, Presence::kRequired);
+  reader.Read("zone", settings.zone, 1, kMaxTextBytes, Presence::kRequired);
+  if (const Json* listen = reader.Take("listen", "an object", Presence::kRequired)) {
+    ObjectReader part(*listen, "listen", problems);
+    ReadAddress(part, "callers", settings.listen_callers);
+    ReadAddress(part, "readiness", settings.listen_readiness);
+    part.Read("metrics_port", settings.metrics_port, 0, kMaxPort);
+    part.Finish();
+  }
+  if (const Json* store = reader.Take("store", "an object", Presence::kRequired)) {
+    ObjectReader part(*store, "store", problems);
+    ReadAddress(part, "address", settings.store_address);
+    part.Read("max_row_bytes", settings.max_row_bytes, 1024, 16 << 20);
+    part.Read("max_object_bytes", settings.max_object_bytes, 1024, 1 << 30);
+    part.Finish();
+  }
+  if (const Json* limits = reader.Take("limits", "an object")) {
+    ObjectReader part(*limits, "limits", problems);
+    part.Read("memory_mb", settings.memory_mb, 16, 1 << 20);
+    part.Read("descriptors", settings.descriptors, 64, 1 << 24);
+    part.Finish();
+  }
+  ReadSeconds(reader, "shutdown_grace_s", settings.shutdown_grace, 1);
+  ReadSeconds(reader, "order_hand_over_ms", settings.order_hand_over, 0.001);
+  reader.Read("log_level", settings.log_level);
+  if (settings.log_level != "info" && settings.log_level != "warning" && settings.log_level != "error") {
+    reader.Problem("log_level", settings.log_level, "info, warning or error");
+  }
+  reader.Finish();
+  if (!problems.empty()) return Fail(ErrorKind::kInvalidRequest, absl::StrJoin(problems, "\n"));
+  return settings;
+}
+
+leaf::result<EntrySettings> LoadEntrySettings(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return Fail(ErrorKind::kNotFound, path + ": cannot be read");
+  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  return ParseEntrySettings(text);
+}
+
+}  // namespace oleander
--- /dev/null
+++ b/src/serving/event_loop.h
@@ -0,0 +1,35 @@
+// The Loop of a running host, on Boost.Asio.
+#ifndef OLEANDER_SRC_SERVING_EVENT_LOOP_H_
+#define OLEANDER_SRC_SERVING_EVENT_LOOP_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "oleander/serving.h"
+
+namespace oleander::serving {
+
+namespace asio = boost::asio;
+
+class EventLoop : public Loop {
+ public:
+  absl::Time Now() const override;
+  TimerId After(absl::Duration delay, std::function<void()> fn) override;
+  void Cancel(TimerId id) override;
+
+  asio::io_context& context() { return context_; }
+  void Run() { context_.run(); }
+  void Stop() { context_.stop(); }
+
+ private:
+  asio::io_context context_{1};  // one thread: handlers need no locks
+  TimerId next_ = 1;
+  absl::flat_hash_map<TimerId, asio::steady_timer> timers_;
+};
+
+}  // namespace oleander::serving
+
+#endif  // OLEANDER_SRC_SERVING_EVENT_LOOP_H_
--- /dev/null
+++ b/src/serving/frontend.cc
@@ -0,0 +1,284 @@
+#include "serving/frontend.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "oleander/log_events.h"
+#include "oleander/metrics.h"
+#include "serving/decisions.h"
+
+namespace oleander::serving {
+namespace {
+
+constexpr absl::Duration kRefusedPause = absl::Milliseconds(60);  // an upstream that says it is full, before it gets more
+
+// The service of a split route, chosen by the request's id, so that a repeated choice is the same.
+std::string ChooseService(const Route& route, const std::string& id) {
+  double total = 0;
+  for (const WeightedService& it : route.services) total += std::max(0.0, it.weight);
+  if (total <= 0) return route.services.empty() ? "" : route.services.front().service;
+  double point = static_cast<double>(HashText(id) >> 11) / static_cast<double>(1ULL << 53) * total;
+  for (const WeightedService& it : route.services) {
+    point -= std::max(0.0, it.weight);
+    if (point < 0) return it.service;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace
+
+struct Frontend::Attempt {
+  std::string upstream;  // id
+  absl::Time started;    //
+  AnswerHead head;       //
+  std::string body;      //
+};
+
+struct Frontend::Exchange {
+  FrontendId id = 0;
+  CallerRequest request;
+  Route route;
+  std::string service;
+  AnswerCallback answer;
+  absl::Time started;
+  absl::Time end;                           // of the caller's patience or of the route's timeout
+  std::map<CallId, Attempt> attempts;       // in progress
+  std::vector<std::string> tried;           // upstreams
+  int may_have_run = 0;                     // attempts that were sent and not stated as not run
+  std::optional<HttpResponse> last_failure;  // of an upstream that ran it
+  TimerId time_up = 0;
+  TimerId hedge = 0;
+};
+
+HttpResponse RefusalAnswer(ErrorKind kind, std::optional<double> retry_after_seconds) {
+  const ErrorAnswer& row = DescribeError(kind);
+  HttpResponse response;
+  response.status = row.http_status;
+  response.headers.push_back({"Content-Type", "application/json"});
+  if (retry_after_seconds) {
+    response.headers.push_back({"Retry-After", absl::StrFormat("%.3f", *retry_after_seconds)});
+  }
+  response.body = absl::StrCat("{\"error\":\"", std::string(row.name), "\",\"not_run\":", row.not_run ? "true" : "false", "}");
+  return response;
+}
+
+Frontend::Frontend(Loop& loop, UpstreamLink& link, Directory& directory, std::string zone)
+    : loop_(loop), link_(link), directory_(directory), zone_(std::move(zone)) {}
+Frontend::~Frontend() = default;
+
+FrontendId Frontend::Handle(CallerRequest request, const Route& route, AnswerCallback answer) {
+  const FrontendId id = next_++;
+  std::unique_ptr<Exchange> owned = std::make_unique<Exchange>();
+  Exchange& exchange = *owned;
+  exchanges_[id] = std::move(owned);
+  exchange.id = id;
+  exchange.request = std::move(request);
+  exchange.route = route;
+  exchange.service = ChooseService(route, exchange.request.id);
+  exchange.answer = std::move(answer);
+  exchange.started = loop_.Now();
+  exchange.end = exchange.started + std::min(route.timeout, exchange.request.deadline.value_or(absl::InfiniteDuration()));
+  exchange.time_up = loop_.After(exchange.end - exchange.started, [this, id] { OnTimeUp(id); });
+  if (route.kind == RouteKind::kIdempotent && route.max_attempts > 1) {
+    exchange.hedge = loop_.After(HedgeAfter(route.objective), [this, id] { OnHedge(id); });
+  }
+  Launch(exchange);
+  return id;
+}
+
+void Frontend::Abandon(FrontendId id) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end()) return;
+  Exchange& exchange = *it->second;
+  LogEventLine(LogLevel::kInfo, LogEvent::kCallerLeft,
+               {{"request", exchange.request.id},
+                {"ms", absl::ToInt64Milliseconds(loop_.Now() - exchange.started)},
+                {"attempts", exchange.tried.size()}});
+  exchange.answer = nullptr;
+  Close(exchange, {});
+}
+
+void Frontend::Launch(Exchange& exchange) {
+  const absl::Time now = loop_.Now();
+  UpstreamState* upstream = PickUnary(directory_.Usable(exchange.service), {zone_, exchange.tried, now});
+  if (upstream == nullptr) {
+    if (exchange.attempts.empty()) RetryOrFail(exchange, ErrorKind::kNoUpstream);
+    return;
+  }
+  UpstreamCall call;
+  call.address = upstream->entry.address;
+  call.expected_id = upstream->entry.id;
+  call.request_id = exchange.request.id;
+  call.method = exchange.request.http.method;
+  call.target = exchange.request.http.target;
+  call.headers = exchange.request.http.headers;
+  call.body = exchange.request.http.body;
+  call.deadline = exchange.end - now;
+  call.timeout = exchange.end - now;
+  call.fresh_connection = exchange.route.kind != RouteKind::kIdempotent;
+  exchange.tried.push_back(upstream->entry.id);
+  ++upstream->in_flight;
+
+  const FrontendId id = exchange.id;
+  const std::shared_ptr<CallId> self = std::make_shared<CallId>(0);
+  CallHandlers handlers;
+  handlers.on_head = [this, id, self](const AnswerHead& head) {
+    const auto it = exchanges_.find(id);
+    if (it == exchanges_.end()) return;
+    Attempt& attempt = it->second->attempts[*self];
+    attempt.head = head;
+    UpstreamState* state = directory_.Find(attempt.upstream);
+    if (state != nullptr) ObserveHead(*state, head, "", loop_.Now());
+  };
+  handlers.on_body = [this, id, self](std::string_view piece) {
+    const auto it = exchanges_.find(id);
+    if (it != exchanges_.end()) it->second->attempts[*self].body.append(piece);
+  };
+  handlers.on_end = [this, id, self](CallEnd end) { OnAttemptEnd(id, *self, end); };
+  *self = link_.Start(std::move(call), std::move(handlers));
+  exchange.attempts[*self] = {upstream->entry.id, now, {}, {}};
+}
+
+void Frontend::OnAttemptEnd(FrontendId id, CallId call, CallEnd end) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end()) return;
+  Exchange& exchange = *it->second;
+  const auto node = exchange.attempts.find(call);
+  if (node == exchange.attempts.end()) return;
+  Attempt attempt = std::move(node->second);
+  exchange.attempts.erase(node);
+  const absl::Time now = loop_.Now();
+  UpstreamState* upstream = directory_.Find(attempt.upstream);
+  if (upstream != nullptr) --upstream->in_flight;
+
+  const AnswerHead& head = attempt.head;
+  const bool success = head.status >= 200 && head.status < 300;
+  // An answer to another request, or a success without signature, is not this request's answer.
+  const bool foreign = head.request_id.empty() ? success : head.request_id != exchange.request.id;
+  const bool whole = end == CallEnd::kComplete && !foreign && !(success && !head.signed_answer);
+  if (whole && !head.not_run && head.status != 421) {
+    if (upstream != nullptr) ObserveLatency(*upstream, now - attempt.started, now);
+    if (success || head.status < 500) {
+      if (upstream != nullptr) ObserveSuccess(*upstream);
+      Deliver(exchange, attempt);
+      return;
+    }
+    ++exchange.may_have_run;
+    if (upstream != nullptr) ObserveFailure(*upstream, now);
+    exchange.last_failure = HttpResponse{head.status, head.reason, head.headers, std::move(attempt.body)};
+    RetryOrFail(exchange, ErrorKind::kUpstreamFailed);
+    return;
+  }
+  LogEventLine(LogLevel::kInfo, LogEvent::kAttemptFailed,
+               {{"request", exchange.request.id},
+                {"upstream", attempt.upstream},
+                {"end", NameOf(end)},
+                {"status", head.status},
+                {"not_run", head.not_run},
+                {"foreign", foreign},
+                {"ms", absl::ToInt64Milliseconds(now - attempt.started)}});
+  if (whole) {  // stated as not run
+    CountRetry(GlobalMetrics(), RetryReason::kUpstreamRefused);
+    if (upstream != nullptr) upstream->avoid_until = std::max(upstream->avoid_until, now + kRefusedPause);
+    RetryOrFail(exchange, ErrorKind::kUpstreamRefused);
+    return;
+  }
+  if (upstream != nullptr) ObserveFailure(*upstream, now);
+  if (end != CallEnd::kNotSent) ++exchange.may_have_run;
+  RetryOrFail(exchange, end == CallEnd::kTimedOut ? ErrorKind::kUpstreamTimeout : ErrorKind::kUpstreamFailed);
+}
+
+// Tries another upstream if the request's kind and its attempts allow it; fails once nothing is in progress.
+void Frontend::RetryOrFail(Exchange& exchange, ErrorKind reason) {
+  const bool repeatable = exchange.route.kind == RouteKind::kIdempotent || exchange.may_have_run == 0;
+  const int counted = exchange.may_have_run + static_cast<int>(exchange.attempts.size());
+  const bool upstream_left =
+      PickUnary(directory_.Usable(exchange.service), {zone_, exchange.tried, loop_.Now()}) != nullptr;
+  if (repeatable && counted < std::max(1, exchange.route.max_attempts) && upstream_left && loop_.Now() < exchange.end) {
+    Launch(exchange);
+    return;
+  }
+  if (!exchange.attempts.empty()) return;
+  if (exchange.last_failure) {
+    Close(exchange, std::move(*exchange.last_failure));
+    return;
+  }
+  if (exchange.may_have_run > 0) {
+    Refuse(exchange, reason == ErrorKind::kUpstreamTimeout ? reason : ErrorKind::kUpstreamFailed);
+  } else {
+    Refuse(exchange, reason == ErrorKind::kUpstreamRefused ? ErrorKind::kOverloaded : ErrorKind::kNoUpstream);
+  }
+}
+
+void Frontend::OnHedge(FrontendId id) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end()) return;
+  Exchange& exchange = *it->second;
+  exchange.hedge = 0;
+  if (exchange.attempts.size() != 1) return;
+  if (exchange.may_have_run + 1 >= exchange.route.max_attempts) return;
+  CountRetry(GlobalMetrics(), RetryReason::kHedge);
+  // The first upstream is at least this slow.
+  UpstreamState* first = directory_.Find(exchange.attempts.begin()->second.upstream);
+  if (first != nullptr) ObserveLatency(*first, loop_.Now() - exchange.started, loop_.Now());
+  Launch(exchange);
+}
+
+void Frontend::OnTimeUp(FrontendId id) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end()) return;
+  Exchange& exchange = *it->second;
+  exchange.time_up = 0;
+  const bool sent = !exchange.attempts.empty() || exchange.may_have_run > 0;
+  Refuse(exchange, sent ? ErrorKind::kUpstreamTimeout : ErrorKind::kQueueDeadline);
+}
+
+void Frontend::Deliver(Exchange& exchange, Attempt& attempt) {
+  LogEventLine(LogLevel::kInfo, LogEvent::kRequestAnswered,
+               {{"request", exchange.request.id},
+                {"route", exchange.route.name},
+                {"upstream", attempt.upstream},
+                {"status", attempt.head.status},
+                {"attempts", exchange.tried.size()},
+                {"ms", absl::ToInt64Milliseconds(loop_.Now() - exchange.started)}});
+  CountLatency(GlobalMetrics(),
+               exchange.route.kind == RouteKind::kIdempotent ? LatencyKind::kLookup : LatencyKind::kReceipt,
+               loop_.Now() - exchange.started);
+  Close(exchange, {attempt.head.status, attempt.head.reason, attempt.head.headers, std::move(attempt.body)});
+}
+
+void Frontend::Refuse(Exchange& exchange, ErrorKind kind) {
+  const ErrorAnswer& row = DescribeError(kind);
+  CountRefusal(GlobalMetrics(), kind);
+  LogEventLine(LogLevel::kWarning, LogEvent::kRequestRefused,
+               {{"request", exchange.request.id},
+                {"route", exchange.route.name},
+                {"error", row.name},
+                {"status", row.http_status},
+                {"attempts", exchange.tried.size()},
+                {"may_have_run", exchange.may_have_run},
+                {"usable", directory_.Usable(exchange.service).size()},
+                {"policy", directory_.policy().version},
+                {"ms", absl::ToInt64Milliseconds(loop_.Now() - exchange.started)}});
+  std::optional<double> retry_after;
+  if (row.not_run) retry_after = RetryAfterSeconds(exchange.end - loop_.Now(), exchange.request.id);
+  Close(exchange, RefusalAnswer(kind, retry_after));
+}
+
+void Frontend::Close(Exchange& exchange, HttpResponse response) {
+  loop_.Cancel(exchange.time_up);
+  loop_.Cancel(exchange.hedge);
+  for (const std::pair<const CallId, Attempt>& it : exchange.attempts) {
+    link_.Cancel(it.first);
+    UpstreamState* upstream = directory_.Find(it.second.upstream);
+    if (upstream != nullptr) --upstream->in_flight;
+  }
+  AnswerCallback answer = std::move(exchange.answer);
+  exchanges_.erase(exchange.id);
+  if (answer) answer(std::move(response));
+}
+
+}  // namespace oleander::serving
--- /dev/null
+++ b/src/serving/http_client.cc
@@ -0,0 +1,299 @@
+#include "serving/http_client.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+#include "serving/http_address.h"
+#include "serving/text.h"
+
+namespace oleander::serving {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint32_t kMaxAnswerHeaderBytes = 64 << 10;
+constexpr absl::Duration kKeepAliveMargin = absl::Milliseconds(500);  // before the peer's own idle timeout
+
+// The idle timeout that the peer states in Keep-Alive, or `fallback`.
+absl::Duration StatedIdleTimeout(std::string_view keep_alive, absl::Duration fallback) {
+  constexpr std::string_view kTimeout = "timeout=";
+  for (const std::string_view part : SplitText(keep_alive, ",; ")) {
+    int seconds = 0;
+    if (part.starts_with(kTimeout) && ParseInteger(part.substr(kTimeout.size()), &seconds)) return absl::Seconds(seconds);
+  }
+  return fallback;
+}
+
+}  // namespace
+
+struct HttpClient::Connection : std::enable_shared_from_this<HttpClient::Connection> {
+  explicit Connection(asio::io_context& context) : socket(context) {}
+
+  tcp::socket socket;
+  std::string address;
+  beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::string_body>> parser;
+  http::request<http::string_body> outbound;
+  bool keep_allowed = true;
+  absl::Time idle_until;
+
+  // Of the call in progress.
+  CallId call = 0;
+  HttpCallHandlers handlers;
+  bool connected = false;
+  bool write_started = false;
+  bool write_done = false;
+  bool head_reported = false;
+  absl::Duration connect_timeout;
+  absl::Duration silence_timeout;
+  absl::Time started;
+  absl::Time last_activity;
+  absl::Time deadline;
+  TimerId timer = 0;
+
+  void Close() {
+    boost::system::error_code ec;
+    socket.close(ec);
+  }
+};
+
+HttpClient::HttpClient(EventLoop& loop, HttpClientLimits limits) : loop_(loop), limits_(limits) {}
+HttpClient::~HttpClient() = default;
+
+CallId HttpClient::Start(HttpCall call, HttpCallHandlers handlers) {
+  const CallId id = next_++;
+  ++counts_.calls;
+  ConnectionPtr connection = call.fresh_connection ? nullptr : TakeIdle(call.address);
+  if (connection == nullptr) {
+    connection = std::make_shared<Connection>(loop_.context());
+    connection->address = call.address;
+  }
+  connection->call = id;
+  connection->handlers = std::move(handlers);
+  connection->write_started = false;
+  connection->write_done = false;
+  connection->head_reported = false;
+  connection->connect_timeout = limits_.connect_timeout;
+  connection->silence_timeout = call.silence_timeout;
+  connection->started = loop_.Now();
+  connection->last_activity = connection->started;
+  connection->deadline =
+      call.timeout == absl::InfiniteDuration() ? absl::InfiniteFuture() : connection->started + call.timeout;
+  connection->parser.emplace();
+  connection->parser->body_limit(boost::none);
+  connection->parser->header_limit(kMaxAnswerHeaderBytes);
+  connection->parser->eager(true);
+  if (call.request.method == "HEAD") connection->parser->skip(true);
+
+  http::request<http::string_body>& outbound = connection->outbound;
+  outbound = {};
+  outbound.version(11);
+  outbound.method_string(call.request.method);
+  outbound.target(call.request.target);
+  for (const HeaderField& it : call.request.headers) {
+    if (!IsConnectionHeader(it.name)) outbound.insert(it.name, it.value);
+  }
+  outbound.body() = std::move(call.request.body);
+  if (!outbound.body().empty() || (call.request.method != "GET" && call.request.method != "HEAD")) {
+    outbound.content_length(outbound.body().size());
+  }
+
+  calls_[id] = connection;
+  WatchTime(connection);
+  if (connection->connected) {
+    Send(connection);
+  } else {
+    Connect(connection);
+  }
+  return id;
+}
+
+void HttpClient::Cancel(CallId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  const ConnectionPtr connection = it->second;
+  calls_.erase(it);
+  loop_.Cancel(connection->timer);
+  connection->call = 0;
+  connection->handlers = {};
+  connection->Close();
+}
+
+HttpClient::ConnectionPtr HttpClient::TakeIdle(const std::string& address) {
+  const auto it = idle_.find(address);
+  if (it == idle_.end()) return nullptr;
+  while (!it->second.empty()) {
+    ConnectionPtr connection = std::move(it->second.back());
+    it->second.pop_back();
+    // A closed peer or bytes that belong to no request make the connection useless.
+    char byte = 0;
+    const ssize_t n = recv(connection->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool silent = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (silent && loop_.Now() < connection->idle_until) return connection;
+    connection->Close();
+  }
+  return nullptr;
+}
+
+void HttpClient::CloseIdle() {
+  const absl::Time now = loop_.Now();
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    while (!it->second.empty() && it->second.front()->idle_until <= now) {
+      it->second.front()->Close();
+      it->second.pop_front();
+    }
+    if (it->second.empty()) {
+      idle_.erase(it++);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void HttpClient::Connect(const ConnectionPtr& connection) {
+  const CallId id = connection->call;
+  const std::optional<tcp::endpoint> endpoint = ParseAddress(connection->address);
+  if (!endpoint) {
+    loop_.After(absl::ZeroDuration(), [this, connection, id] {
+      if (connection->call == id) Finish(connection, CallEnd::kNotSent);
+    });
+    return;
+  }
+  ++counts_.connections;
+  connection->socket.async_connect(*endpoint, [this, connection, id](boost::system::error_code ec) {
+    if (connection->call != id) return;
+    if (ec) {
+      Finish(connection, CallEnd::kNotSent);
+      return;
+    }
+    connection->connected = true;
+    connection->last_activity = loop_.Now();
+    boost::system::error_code ignored;  // only latency is lost without the option
+    connection->socket.set_option(tcp::no_delay(true), ignored);
+    Send(connection);
+  });
+}
+
+// Reads while the request is still being written: an upstream may answer before it has read the whole body.
+void HttpClient::Send(const ConnectionPtr& connection) {
+  const CallId id = connection->call;
+  connection->write_started = true;
+  http::async_write(connection->socket, connection->outbound,
+                    [this, connection, id](boost::system::error_code ec, std::size_t) {
+                      if (connection->call != id) return;
+                      connection->write_done = !ec;  // a failure shows at the reader
+                      connection->outbound.body().clear();
+                    });
+  Receive(connection);
+}
+
+void HttpClient::Receive(const ConnectionPtr& connection) {
+  const CallId id = connection->call;
+  http::async_read_some(connection->socket, connection->buffer, *connection->parser,
+                        [this, connection, id](boost::system::error_code ec, std::size_t) {
+                          if (connection->call != id) return;
+                          OnReceived(connection, static_cast<bool>(ec));
+                        });
+}
+
+void HttpClient::OnReceived(const ConnectionPtr& connection, bool failed) {
+  const CallId id = connection->call;
+  connection->last_activity = loop_.Now();
+  http::response_parser<http::string_body>& parser = *connection->parser;
+  if (!failed && parser.is_header_done() && !connection->head_reported) {
+    connection->head_reported = true;
+    HttpResponse head;
+    const http::response<http::string_body>& message = parser.get();
+    head.status = static_cast<int>(message.result_int());
+    head.reason = std::string(message.reason());
+    for (const http::fields::value_type& it : message) {
+      head.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+    }
+    connection->idle_until = loop_.Now() + std::min(limits_.max_idle, StatedIdleTimeout(FindHeader(head.headers, "Keep-Alive"),
+                                                                           limits_.max_idle + kKeepAliveMargin) -
+                                                             kKeepAliveMargin);
+    if (connection->handlers.on_head) connection->handlers.on_head(head);
+    if (connection->call != id) return;
+  }
+  if (parser.is_header_done() && !parser.get().body().empty()) {
+    std::string piece;
+    piece.swap(parser.get().body());
+    if (connection->handlers.on_body) connection->handlers.on_body(piece);
+    if (connection->call != id) return;
+  }
+  if (failed) {
+    Finish(connection, CallEnd::kBroken);
+  } else if (parser.is_done()) {
+    Finish(connection, CallEnd::kComplete);
+  } else {
+    Receive(connection);
+  }
+}
+
+void HttpClient::Finish(const ConnectionPtr& connection, CallEnd end) {
+  calls_.erase(connection->call);
+  connection->call = 0;
+  loop_.Cancel(connection->timer);
+  HttpCallHandlers handlers = std::move(connection->handlers);
+  connection->handlers = {};
+  const bool reusable = end == CallEnd::kComplete && connection->write_done && connection->parser->keep_alive() &&
+                        connection->buffer.size() == 0;
+  if (reusable) {
+    Keep(connection);
+  } else {
+    connection->Close();
+  }
+  if (handlers.on_end) handlers.on_end(end);
+}
+
+void HttpClient::Keep(const ConnectionPtr& connection) {
+  std::deque<ConnectionPtr>& idle = idle_[connection->address];
+  connection->parser.reset();
+  idle.push_back(connection);
+  while (static_cast<int>(idle.size()) > limits_.max_idle_per_address) {
+    idle.front()->Close();
+    idle.pop_front();
+  }
+}
+
+void HttpClient::WatchTime(const ConnectionPtr& connection) {
+  absl::Time next = connection->deadline;
+  if (!connection->connected) {
+    next = std::min(next, connection->started + connection->connect_timeout);
+  } else if (connection->silence_timeout != absl::InfiniteDuration()) {
+    next = std::min(next, connection->last_activity + connection->silence_timeout);
+  }
+  connection->timer = 0;
+  if (next == absl::InfiniteFuture()) {
+    // Checked again once connected, so that the other limits apply.
+    next = loop_.Now() + limits_.connect_timeout;
+  }
+  const CallId id = connection->call;
+  connection->timer = loop_.After(next - loop_.Now(), [this, connection, id] {
+    if (connection->call == id) CheckTime(connection);
+  });
+}
+
+void HttpClient::CheckTime(const ConnectionPtr& connection) {
+  const absl::Time now = loop_.Now();
+  const bool connect_late = !connection->connected && now >= connection->started + connection->connect_timeout;
+  const bool silent = connection->connected && connection->silence_timeout != absl::InfiniteDuration() &&
+                      now >= connection->last_activity + connection->silence_timeout;
+  if (connect_late || silent || now >= connection->deadline) {
+    Finish(connection, connection->write_started ? CallEnd::kTimedOut : CallEnd::kNotSent);
+    return;
+  }
+  WatchTime(connection);
+}
+
+}  // namespace oleander::serving
--- /dev/null
+++ b/src/serving/http_client.h
@@ -0,0 +1,76 @@
+// HTTP/1.1 calls over kept connections, on Boost.Beast. Knows nothing of what the messages mean.
+#ifndef OLEANDER_SRC_SERVING_HTTP_CLIENT_H_
+#define OLEANDER_SRC_SERVING_HTTP_CLIENT_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "oleander/serving.h"
+#include "serving/event_loop.h"
+
+namespace oleander::serving {
+
+struct HttpClientLimits {
+  absl::Duration connect_timeout = absl::Milliseconds(400);  // links take single milliseconds
+  absl::Duration max_idle = absl::Seconds(8);                // kept connections without a call
+  int max_idle_per_address = 64;                             // connections
+};
+
+struct HttpCall {
+  std::string address;                                        // "ip:port"
+  HttpRequest request;                                        //
+  absl::Duration timeout = absl::InfiniteDuration();          // for the whole call
+  absl::Duration silence_timeout = absl::InfiniteDuration();  // without a byte received
+  bool fresh_connection = false;                              // do not reuse a kept one
+};
+struct HttpCallHandlers {
+  std::function<void(const HttpResponse&)> on_head;  // status and headers; no body
+  std::function<void(std::string_view)> on_body;     // decoded pieces
+  std::function<void(CallEnd)> on_end;               // exactly once, unless cancelled
+};
+
+struct HttpClientCounts {
+  std::int64_t calls = 0;        //
+  std::int64_t connections = 0;  // opened
+};
+
+class HttpClient {
+ public:
+  HttpClient(EventLoop& loop, HttpClientLimits limits);
+  ~HttpClient();
+  CallId Start(HttpCall call, HttpCallHandlers handlers);
+  void Cancel(CallId id);
+  // Closes kept connections that have been idle for too long.
+  void CloseIdle();
+  const HttpClientCounts& counts() const { return counts_; }
+
+ private:
+  struct Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+  ConnectionPtr TakeIdle(const std::string& address);
+  void Connect(const ConnectionPtr& connection);
+  void Send(const ConnectionPtr& connection);
+  void Receive(const ConnectionPtr& connection);
+  void OnReceived(const ConnectionPtr& connection, bool failed);
+  void Finish(const ConnectionPtr& connection, CallEnd end);
+  void Keep(const ConnectionPtr& connection);
+  void WatchTime(const ConnectionPtr& connection);
+  void CheckTime(const ConnectionPtr& connection);
+
+  EventLoop& loop_;
+  HttpClientLimits limits_;
+  HttpClientCounts counts_;
+  CallId next_ = 1;
+  absl::flat_hash_map<CallId, ConnectionPtr> calls_;
+  absl::flat_hash_map<std::string, std::deque<ConnectionPtr>> idle_;
+};
+
+}  // namespace oleander::serving
+
+#endif  // OLEANDER_SRC_SERVING_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/serving/http_messages.cc
@@ -0,0 +1,60 @@
+#include <array>
+#include <boost/asio/ip/address.hpp>
+#include <utility>
+
+#include "oleander/serving.h"
+#include "serving/http_address.h"
+#include "serving/text.h"
+
+namespace oleander::serving {
+namespace {
+
+constexpr std::array<std::string_view, 9> kConnectionHeaders = {
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer",    "upgrade",    "transfer-encoding",  "content-length"};
+
+constexpr std::array<std::string_view, 5> kStoreOutcomes = {"ok", "conflict", "refused", "unknown", "history_gone"};
+constexpr std::array<std::string_view, 4> kRouteKinds = {"idempotent", "non_idempotent", "streaming", "rollout"};
+constexpr std::array<std::string_view, 4> kCallEnds = {"complete", "not_sent", "broken", "timed_out"};
+constexpr std::array<std::string_view, 5> kOrderOutcomes = {"accepted", "already_holds", "busy_or_moved", "refused",
+                                                            "unknown"};
+constexpr std::array<std::string_view, 8> kBatchOutcomes = {
+    "ok", "accepted", "not_found", "no_route", "invalid", "not_run", "unsure", "outcome_unknown"};
+
+}  // namespace
+
+std::string_view NameOf(StoreOutcome outcome) { return kStoreOutcomes[static_cast<int>(outcome)]; }
+std::string_view NameOf(RouteKind kind) { return kRouteKinds[static_cast<int>(kind)]; }
+std::string_view NameOf(CallEnd end) { return kCallEnds[static_cast<int>(end)]; }
+std::string_view NameOf(OrderOutcome outcome) { return kOrderOutcomes[static_cast<int>(outcome)]; }
+std::string_view NameOf(BatchOutcome outcome) { return kBatchOutcomes[static_cast<int>(outcome)]; }
+
+std::string_view FindHeader(const Headers& headers, std::string_view name) {
+  for (const HeaderField& it : headers) {
+    if (EqualsIgnoreCase(it.name, name)) return it.value;
+  }
+  return {};
+}
+
+void RemoveHeader(Headers& headers, std::string_view name) {
+  std::erase_if(headers, [name](const HeaderField& it) { return EqualsIgnoreCase(it.name, name); });
+}
+
+bool IsConnectionHeader(std::string_view name) {
+  for (const std::string_view it : kConnectionHeaders) {
+    if (EqualsIgnoreCase(it, name)) return true;
+  }
+  return false;
+}
+
+std::optional<boost::asio::ip::tcp::endpoint> ParseAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  boost::system::error_code ec;
+  const boost::asio::ip::address ip = boost::asio::ip::make_address(text.substr(0, colon), ec);
+  int port = 0;
+  if (ec || !ParseInteger(text.substr(colon + 1), &port) || port < 0 || port > 65535) return std::nullopt;
+  return boost::asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+}
+
+}  // namespace oleander::serving
--- /dev/null
+++ b/src/serving/http_server.cc
@@ -0,0 +1,212 @@
+#include "serving/http_server.h"
+
+#include <sys/socket.h>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "serving/http_address.h"
+
+namespace oleander::serving {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+constexpr int kListenBacklog = 1024;
+constexpr absl::Duration kAcceptPause = absl::Milliseconds(50);  // after a failed accept, for example without descriptors
+}  // namespace
+
+struct HttpServer::Connection {
+  explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) {}
+
+  std::uint64_t id = 0;
+  tcp::socket socket;
+  beast::flat_buffer buffer;
+  std::optional<http::request_parser<http::string_body>> parser;
+  http::response<http::string_body> outbound;
+  ExchangeId exchange = 0;  // 0: no request is being answered
+  bool keep_alive = true;
+  bool writing = false;
+  std::function<void()> on_left;
+  absl::Time read_started;  // of the request that is being read
+  TimerId timer = 0;
+};
+
+HttpServer::HttpServer(EventLoop& loop, RequestHandler on_request)
+    : loop_(loop), on_request_(std::move(on_request)), acceptor_(loop.context()) {}
+HttpServer::~HttpServer() = default;
+
+bool HttpServer::Listen(const std::string& address) {
+  const std::optional<tcp::endpoint> endpoint = ParseAddress(address);
+  if (!endpoint) return false;
+  boost::system::error_code ec;
+  acceptor_.open(endpoint->protocol(), ec);
+  if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor_.bind(*endpoint, ec);
+  if (!ec) acceptor_.listen(kListenBacklog, ec);
+  if (ec) return false;
+  Accept();
+  return true;
+}
+
+void HttpServer::Accept() {
+  acceptor_.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
+    if (ec == asio::error::operation_aborted) return;
+    if (ec) {
+      loop_.After(kAcceptPause, [this] {
+        if (acceptor_.is_open()) Accept();
+      });
+      return;
+    }
+    ConnectionPtr connection = std::make_shared<Connection>(std::move(socket));
+    boost::system::error_code ignored;  // only latency is lost without the option
+    connection->socket.set_option(tcp::no_delay(true), ignored);
+    connection->id = next_++;
+    connections_[connection->id] = connection;
+    ReadRequest(connection);
+    Accept();
+  });
+}
+
+void HttpServer::ReadRequest(const ConnectionPtr& connection) {
+  connection->parser.emplace();
+  connection->parser->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+  connection->parser->body_limit(static_cast<std::uint64_t>(limits_.max_body_bytes));
+  connection->read_started = loop_.Now();
+  if (connection->timer == 0) CheckIdle(connection);
+  http::async_read(connection->socket, connection->buffer, *connection->parser,
+                   [this, connection](boost::system::error_code ec, std::size_t) { OnRead(connection, ec); });
+}
+
+// Closes a connection that stays without a whole request for the idle timeout.
+void HttpServer::CheckIdle(const ConnectionPtr& connection) {
+  connection->timer = loop_.After(limits_.idle_timeout, [this, connection] {
+    connection->timer = 0;
+    if (!connection->socket.is_open()) return;
+    const bool reading = connection->exchange == 0 && !connection->writing;
+    if (reading && loop_.Now() - connection->read_started >= limits_.idle_timeout) {
+      Close(connection);
+      return;
+    }
+    CheckIdle(connection);
+  });
+}
+
+void HttpServer::OnRead(const ConnectionPtr& connection, boost::system::error_code ec) {
+  if (!connection->socket.is_open()) return;
+  if (ec) {
+    if (ec == http::error::body_limit) {
+      WriteAnswer(connection, {413, "", {}, ""}, true);
+    } else if (ec == http::error::header_limit) {
+      WriteAnswer(connection, {431, "", {}, ""}, true);
+    } else if (ec.category() == make_error_code(http::error::bad_method).category() &&
+               ec != http::error::end_of_stream && ec != http::error::partial_message) {
+      WriteAnswer(connection, {400, "", {}, ""}, true);
+    } else {
+      Close(connection);
+    }
+    return;
+  }
+  http::request<http::string_body> message = connection->parser->release();
+  connection->keep_alive = message.keep_alive();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const http::fields::value_type& it : message) {
+    request.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+  }
+  request.body = std::move(message.body());
+  connection->exchange = next_++;
+  exchanges_[connection->exchange] = connection;
+  WatchCaller(connection);
+  on_request_(connection->exchange, std::move(request));
+}
+
+// A caller that closes its connection has given up; its next request, sent early, waits in the socket.
+void HttpServer::WatchCaller(const ConnectionPtr& connection) {
+  const ExchangeId exchange = connection->exchange;
+  connection->socket.async_wait(tcp::socket::wait_read, [this, connection, exchange](boost::system::error_code ec) {
+    if (connection->exchange != exchange || exchange == 0) return;
+    char byte = 0;
+    const ssize_t n = ec ? 0 : recv(connection->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool alive = n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+    if (alive) return;
+    std::function<void()> left = std::move(connection->on_left);
+    connection->on_left = nullptr;
+    Close(connection);
+    if (left) left();
+  });
+}
+
+void HttpServer::OnCallerLeft(ExchangeId id, std::function<void()> fn) {
+  const auto it = exchanges_.find(id);
+  if (it != exchanges_.end()) it->second->on_left = std::move(fn);
+}
+
+void HttpServer::Respond(ExchangeId id, HttpResponse response) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end()) return;
+  const ConnectionPtr connection = it->second;
+  exchanges_.erase(it);
+  connection->exchange = 0;
+  connection->on_left = nullptr;
+  WriteAnswer(connection, std::move(response), closing_ || !connection->keep_alive);
+}
+
+void HttpServer::WriteAnswer(const ConnectionPtr& connection, HttpResponse response, bool close) {
+  http::response<http::string_body>& outbound = connection->outbound;
+  outbound = {};
+  outbound.version(11);
+  outbound.result(static_cast<unsigned>(response.status));
+  if (!response.reason.empty()) outbound.reason(response.reason);
+  for (const HeaderField& it : response.headers) {
+    if (!IsConnectionHeader(it.name)) outbound.insert(it.name, it.value);
+  }
+  outbound.body() = std::move(response.body);
+  outbound.keep_alive(!close);
+  outbound.prepare_payload();
+  connection->writing = true;
+  boost::system::error_code ignored;  // ends the wait for the caller's close
+  connection->socket.cancel(ignored);
+  http::async_write(connection->socket, outbound,
+                    [this, connection, close](boost::system::error_code ec, std::size_t) {
+                      connection->writing = false;
+                      if (!connection->socket.is_open()) return;
+                      if (ec || close || !acceptor_.is_open()) {
+                        boost::system::error_code shutdown_ignored;
+                        connection->socket.shutdown(tcp::socket::shutdown_send, shutdown_ignored);
+                        Close(connection);
+                        return;
+                      }
+                      ReadRequest(connection);
+                    });
+}
+
+void HttpServer::StopAccepting() {
+  closing_ = true;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  std::vector<ConnectionPtr> idle;
+  for (const std::pair<const std::uint64_t, ConnectionPtr>& it : connections_) {
+    const bool reading = it.second->parser && it.second->parser->got_some();
+    if (it.second->exchange == 0 && !it.second->writing && !reading) idle.push_back(it.second);
+  }
+  for (const ConnectionPtr& it : idle) Close(it);
+}
+
+void HttpServer::Close(const ConnectionPtr& connection) {
+  if (connection->exchange != 0) exchanges_.erase(connection->exchange);
+  connection->exchange = 0;
+  loop_.Cancel(connection->timer);
+  connection->timer = 0;
+  boost::system::error_code ignored;
+  connection->socket.close(ignored);
+  connections_.erase(connection->id);
+}
+
+}  // namespace oleander::serving
--- /dev/null
+++ b/src/serving/http_server.h
@@ -0,0 +1,63 @@
+// HTTP/1.1 server on Boost.Beast: one exchange at a time on a connection, whole requests, whole answers.
+#ifndef OLEANDER_SRC_SERVING_HTTP_SERVER_H_
+#define OLEANDER_SRC_SERVING_HTTP_SERVER_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "oleander/serving.h"
+#include "serving/event_loop.h"
+
+namespace oleander::serving {
+
+using ExchangeId = std::uint64_t;
+
+class HttpServer {
+ public:
+  // `on_request` gets each whole request; the answer is given by Respond, at any time.
+  using RequestHandler = std::function<void(ExchangeId, HttpRequest)>;
+
+  HttpServer(EventLoop& loop, RequestHandler on_request);
+  ~HttpServer();
+  // Returns false if the address cannot be bound.
+  bool Listen(const std::string& address);
+  void SetLimits(const CallerLimits& limits) { limits_ = limits; }
+  // Does nothing if the caller has left.
+  void Respond(ExchangeId id, HttpResponse response);
+  // `fn` runs once if the caller closes the connection before it has its answer.
+  void OnCallerLeft(ExchangeId id, std::function<void()> fn);
+  // From now on each answer closes its connection; new connections are still accepted.
+  void CloseAfterAnswers() { closing_ = true; }
+  // Stops listening and closes connections on which no request is being answered or read.
+  void StopAccepting();
+  int open_exchanges() const { return static_cast<int>(exchanges_.size()); }
+  int connections() const { return static_cast<int>(connections_.size()); }
+
+ private:
+  struct Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+  void Accept();
+  void ReadRequest(const ConnectionPtr& connection);
+  void OnRead(const ConnectionPtr& connection, boost::system::error_code ec);
+  void WatchCaller(const ConnectionPtr& connection);
+  void WriteAnswer(const ConnectionPtr& connection, HttpResponse response, bool close);
+  void CheckIdle(const ConnectionPtr& connection);
+  void Close(const ConnectionPtr& connection);
+
+  EventLoop& loop_;
+  RequestHandler on_request_;
+  CallerLimits limits_;
+  bool closing_ = false;
+  asio::ip::tcp::acceptor acceptor_;
+  std::uint64_t next_ = 1;
+  absl::flat_hash_map<std::uint64_t, ConnectionPtr> connections_;
+  absl::flat_hash_map<ExchangeId, ConnectionPtr> exchanges_;
+};
+
+}  // namespace oleander::serving
+
+#endif  // OLEANDER_SRC_SERVING_HTTP_SERVER_H_
--- /dev/null
+++ b/src/serving/weights_control.cc
@@ -0,0 +1,296 @@
+#include "serving/weights_control.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "oleander/log_events.h"
+
+namespace oleander::serving {
+namespace {
+
+constexpr std::string_view kLeaseTable = "lease";
+constexpr std::string_view kPartition = "weights";
+constexpr std::string_view kReleased = "released";
+constexpr absl::Duration kMargin = absl::Milliseconds(300);        // way of an order, and delays of timers
+constexpr absl::Duration kRefusedOrder = absl::Milliseconds(700);  // before the same engine is ordered again
+constexpr absl::Duration kStoreRetry = absl::Milliseconds(300);
+
+RowKey LeaseRow(const std::string& service) { return {std::string(kLeaseTable), std::string(kPartition), service}; }
+
+}  // namespace
+
+WeightsControl::WeightsControl(Loop& loop, Store& store, UpstreamLink& link, Directory& directory,
+                               WeightsSettings settings)
+    : loop_(loop), store_(store), link_(link), directory_(directory), settings_(std::move(settings)) {}
+
+bool WeightsControl::holds(const std::string& service) const {
+  const auto it = services_.find(service);
+  return it != services_.end() && it->second.holder;
+}
+
+WeightsControl::Engine* WeightsControl::FindEngine(const std::string& name, const std::string& engine) {
+  const auto service = services_.find(name);
+  if (service == services_.end()) return nullptr;
+  const auto it = service->second.engines.find(engine);
+  return it == service->second.engines.end() ? nullptr : &it->second;
+}
+
+void WeightsControl::Tick() {
+  if (released_) return;
+  const absl::Time now = loop_.Now();
+  for (const ServiceSpec& spec : directory_.policy().services) {
+    if (spec.models.empty()) continue;
+    Service& service = services_[spec.name];
+    if (!service.calling && now >= service.next_store_call) {
+      if (service.holder) {
+        RenewLease(spec.name, service);
+      } else {
+        WatchLease(spec.name, service);
+      }
+    }
+    if (service.holder && now < service.order_until) {
+      SyncEngines(spec, service);
+      OrderLoads(spec, service);
+    }
+  }
+}
+
+// ---- Lease ------------------------------------------------------------------------------------------------
+
+void WeightsControl::WatchLease(const std::string& name, Service& service) {
+  service.calling = true;
+  service.next_store_call = loop_.Now() + settings_.watch_every;
+  store_.Get({std::string(kLeaseTable), std::string(kPartition), name, name + std::string(1, '\0'), 1},
+             [this, name](const StoreReply& reply) {
+               Service& found = services_[name];
+               found.calling = false;
+               if (reply.outcome != StoreOutcome::kOk || released_ || found.holder) return;
+               const std::int64_t version = reply.rows.empty() ? 0 : reply.rows[0].version;
+               const absl::Time now = loop_.Now();
+               if (version != found.seen_version) {
+                 found.seen_version = version;
+                 found.seen_since = now;
+                 found.seen_released = !reply.rows.empty() && reply.rows[0].value == kReleased;
+               }
+               // The first holder of all needs no gap; after a release nothing was ordered for a while already.
+               const absl::Duration quiet = version == 0          ? absl::ZeroDuration()
+                                            : found.seen_released ? settings_.hand_over_gap + kMargin
+                                                                  : settings_.order_window + settings_.hand_over_gap + kMargin;
+               if (now - found.seen_since >= quiet) TakeLease(name, found, version);
+             });
+}
+
+void WeightsControl::TakeLease(const std::string& name, Service& service, std::int64_t version) {
+  service.calling = true;
+  const absl::Time sent = loop_.Now();
+  Transaction transaction;
+  transaction.conditions = {{LeaseRow(name), version}};
+  transaction.writes = {{LeaseRow(name), settings_.incarnation}};
+  store_.Commit(transaction, [this, name, sent](const StoreReply& reply) {
+    Service& found = services_[name];
+    found.calling = false;
+    found.seen_version = -1;
+    if (reply.outcome != StoreOutcome::kOk || released_) return;
+    found.holder = true;
+    found.lease_version = reply.version;
+    found.fence = reply.version;
+    found.order_until = sent + settings_.order_window;
+    found.next_store_call = sent + settings_.renew_every;
+    found.engines.clear();
+    LogEventLine(LogLevel::kInfo, LogEvent::kLeaseTaken, {{"lease", "weights"}, {"service", name}, {"fence", found.fence}});
+  });
+}
+
+void WeightsControl::RenewLease(const std::string& name, Service& service) {
+  service.calling = true;
+  const absl::Time sent = loop_.Now();
+  service.next_store_call = sent + settings_.renew_every;
+  Transaction transaction;
+  transaction.conditions = {{LeaseRow(name), service.lease_version}};
+  transaction.writes = {{LeaseRow(name), settings_.incarnation}};
+  store_.Commit(transaction, [this, name, sent](const StoreReply& reply) {
+    Service& found = services_[name];
+    found.calling = false;
+    if (!found.holder) return;
+    if (reply.outcome == StoreOutcome::kOk) {
+      found.lease_version = reply.version;
+      found.order_until = sent + settings_.order_window;
+      return;
+    }
+    if (reply.outcome == StoreOutcome::kConflict) {
+      for (const Row& it : reply.rows) {
+        if (it.value != settings_.incarnation) continue;
+        // An earlier renewal took effect and its answer was lost; the window of that renewal is unknown.
+        found.lease_version = it.version;
+        found.next_store_call = loop_.Now();
+        return;
+      }
+      Lose(name, found, "taken_by_another");
+      return;
+    }
+    found.next_store_call = loop_.Now() + kStoreRetry;
+  });
+}
+
+void WeightsControl::Lose(const std::string& name, Service& service, std::string_view reason) {
+  LogEventLine(LogLevel::kWarning, LogEvent::kLeaseLost, {{"lease", "weights"}, {"service", name}, {"reason", reason}});
+  service.holder = false;
+  service.engines.clear();
+  service.order_until = absl::InfinitePast();
+}
+
+void WeightsControl::Release() {
+  released_ = true;
+  for (std::pair<const std::string, Service>& it : services_) {
+    if (!it.second.holder) continue;
+    Transaction transaction;
+    transaction.conditions = {{LeaseRow(it.first), it.second.lease_version}};
+    transaction.writes = {{LeaseRow(it.first), std::string(kReleased)}};
+    store_.Commit(transaction, [](const StoreReply&) {});  // unanswered: the lease runs out instead
+    Lose(it.first, it.second, "released");
+  }
+}
+
+// ---- Engines ----------------------------------------------------------------------------------------------
+
+void WeightsControl::SyncEngines(const ServiceSpec& spec, Service& service) {
+  std::vector<std::string> present;
+  for (const UpstreamState* it : directory_.Usable(spec.name)) {
+    present.push_back(it->entry.id);
+    Engine& engine = service.engines[it->entry.id];
+    if (engine.started_ms != it->entry.started_ms) {
+      engine = Engine();
+      engine.started_ms = it->entry.started_ms;
+    }
+    engine.weights.id = it->entry.id;
+    engine.weights.running = EstimateRunning(*it, loop_.Now());
+    for (const std::pair<const std::string, std::int64_t>& held : it->observed_weights) {
+      std::int64_t& known = engine.weights.held[held.first];
+      known = std::max(known, held.second);
+    }
+  }
+  std::erase_if(service.engines, [&present](const std::pair<const std::string, Engine>& it) {
+    return std::find(present.begin(), present.end(), it.first) == present.end();
+  });
+  if (present != service.assigned_for) {
+    service.assigned = AssignModels(present, spec.models, settings_.copies);
+    service.assigned_for = present;
+  }
+}
+
+void WeightsControl::OrderLoads(const ServiceSpec& spec, Service& service) {
+  const absl::Time now = loop_.Now();
+  std::vector<EngineWeights> engines;
+  for (std::pair<const std::string, Engine>& it : service.engines) {
+    Engine& engine = it.second;
+    if (engine.weights.loading) {
+      if (now >= engine.load_forgotten) {
+        // Its effect may still come: what the engine holds is read again from its report.
+        engine.weights.loading = false;
+        engine.report_known = false;
+        engine.weights.held[engine.loading_model] = 0;
+      } else if (!engine.asking && now >= engine.next_report) {
+        AskReport(spec.name, it.first);
+      }
+    }
+    engines.push_back(engine.weights);
+  }
+  const std::map<std::string, std::int64_t>& named = directory_.named_versions();
+  const int most = MostLoadsAtOnce(static_cast<int>(engines.size()));
+  while (true) {
+    const LoadChoice load = PickLoad(engines, named, service.assigned, most, now);
+    if (load.engine.empty()) return;
+    Engine& engine = service.engines[load.engine];
+    // Keeps the next round of this loop from choosing the engine again.
+    for (EngineWeights& it : engines) {
+      if (it.id != load.engine) continue;
+      it.loading = true;
+      it.held[load.model] = load.version;
+    }
+    if (engine.asking) continue;
+    if (!engine.report_known) {
+      AskReport(spec.name, load.engine);
+    } else {
+      Order(spec.name, load);
+    }
+  }
+}
+
+void WeightsControl::AskReport(const std::string& name, const std::string& id) {
+  Engine* const engine = FindEngine(name, id);
+  const UpstreamState* const upstream = directory_.Find(id);
+  if (engine == nullptr || upstream == nullptr) return;
+  engine->asking = true;
+  engine->next_report = loop_.Now() + settings_.report_every;
+  link_.FetchReport(upstream->entry, [this, name, id](const EngineReport& report) {
+    Engine* const found = FindEngine(name, id);
+    if (found == nullptr) return;
+    found->asking = false;
+    const absl::Time now = loop_.Now();
+    if (!report.known) {
+      found->weights.blocked_until = now + kRefusedOrder;
+      return;
+    }
+    found->orders_accepted = std::max(found->orders_accepted, report.orders_accepted);
+    if (found->weights.loading) {
+      const auto held = report.weights.find(found->loading_model);
+      if (held == report.weights.end() || held->second < found->loading_version) return;
+      found->weights.loading = false;
+      LogEventLine(LogLevel::kInfo, LogEvent::kWeightsActive,
+                   {{"upstream", id}, {"model", found->loading_model}, {"version", held->second}});
+    } else {
+      found->weights.held.clear();
+    }
+    found->report_known = !report.busy;
+    if (report.busy) found->weights.blocked_until = now + settings_.report_every;
+    UpstreamState* const state = directory_.Find(id);
+    for (const std::pair<const std::string, std::int64_t>& it : report.weights) {
+      found->weights.held[it.first] = it.second;
+      if (state != nullptr) state->observed_weights[it.first] = it.second;
+    }
+  });
+}
+
+void WeightsControl::Order(const std::string& name, const LoadChoice& load) {
+  Service& service = services_[name];
+  Engine* const engine = FindEngine(name, load.engine);
+  UpstreamState* const upstream = directory_.Find(load.engine);
+  // Checked again here: this host may have been suspended since the tick began.
+  if (engine == nullptr || upstream == nullptr || !service.holder || loop_.Now() >= service.order_until) return;
+  WeightsOrder order;
+  order.model = load.model;
+  order.version = load.version;
+  order.holder = settings_.incarnation;
+  order.fence = service.fence;
+  order.orders_accepted = engine->orders_accepted;
+  engine->asking = true;
+  engine->weights.loading = true;
+  engine->loading_model = load.model;
+  engine->loading_version = load.version;
+  engine->weights.held[load.model] = load.version;
+  engine->load_forgotten = loop_.Now() + settings_.load_patience;
+  link_.SendOrder(upstream->entry, order, [this, name, load](OrderOutcome outcome) {
+    Engine* const found = FindEngine(name, load.engine);
+    LogEventLine(LogLevel::kInfo, LogEvent::kWeightsOrdered,
+                 {{"upstream", load.engine},
+                  {"model", load.model},
+                  {"version", load.version},
+                  {"orders_accepted", found == nullptr ? -1 : found->orders_accepted},
+                  {"outcome", NameOf(outcome)}});
+    if (found == nullptr) return;
+    found->asking = false;
+    const absl::Time now = loop_.Now();
+    if (outcome == OrderOutcome::kAccepted) {
+      ++found->orders_accepted;
+      found->next_report = now + settings_.report_every * 2;
+      return;
+    }
+    found->weights.loading = false;
+    if (outcome == OrderOutcome::kAlreadyHolds) return;
+    found->report_known = false;
+    found->weights.held[load.model] = load.version - 1;  // corrected by the report that comes first
+    found->weights.blocked_until = now + (outcome == OrderOutcome::kBusyOrMoved ? settings_.report_every : kRefusedOrder);
+  });
+}
+
+}  // namespace oleander::serving
