Put received bytes into the HTTP parser as they come

Cause: beast's async_read_some does not return while the head of the next chunk is incomplete; an event and the line feeds behind it arrive together, so a stream's events were delivered only with the end of the answer. Ruled out: segments read in parts of 512 bytes (no change). Change: HttpClient reads the socket itself and calls the parser's put.

--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -21,6 +21,7 @@
 
 namespace {
 
+constexpr std::size_t kReadBytes = 8 << 10;  // asked for in one read; the library's default of 512 splits each event
 constexpr std::uint32_t kMaxAnswerHeaderBytes = 64 << 10;
 constexpr absl::Duration kKeepAliveMargin = absl::Milliseconds(500);  // before the peer's own idle timeout
 
@@ -37,7 +38,7 @@
 }  // namespace
 
 struct HttpClient::Connection : std::enable_shared_from_this<HttpClient::Connection> {
-  explicit Connection(asio::io_context& context) : socket(context) {}
+  explicit Connection(asio::io_context& context) : socket(context) { buffer.reserve(kReadBytes); }
 
   tcp::socket socket;
   std::string address;
@@ -197,13 +198,36 @@
   Receive(connection);
 }
 
+// The library's own read does not return while the next chunk's head is incomplete, so that events would arrive
+// only with the end of the answer; the bytes are read here and put into its parser.
 void HttpClient::Receive(const ConnectionPtr& connection) {
   const CallId id = connection->call;
-  http::async_read_some(connection->socket, connection->buffer, *connection->parser,
-                        [this, connection, id](boost::system::error_code ec, std::size_t) {
-                          if (connection->call != id) return;
-                          OnReceived(connection, static_cast<bool>(ec));
-                        });
+  connection->socket.async_read_some(connection->buffer.prepare(kReadBytes),
+                                     [this, connection, id](boost::system::error_code ec, std::size_t n) {
+                                       if (connection->call != id) return;
+                                       connection->buffer.commit(n);
+                                       OnReceived(connection, !Parse(*connection, ec));
+                                     });
+}
+
+// False: the connection failed, or what came is not an HTTP answer.
+bool HttpClient::Parse(Connection& connection, boost::system::error_code received) {
+  http::response_parser<http::string_body>& parser = *connection.parser;
+  boost::system::error_code ec;
+  if (received == asio::error::eof) {
+    if (!parser.got_some()) return false;
+    parser.put_eof(ec);
+    return !ec && parser.is_done();
+  }
+  if (received) return false;
+  while (connection.buffer.size() > 0 && !parser.is_done()) {
+    const std::size_t used = parser.put(connection.buffer.data(), ec);
+    connection.buffer.consume(used);
+    if (ec == http::error::need_more) return true;
+    if (ec) return false;
+    if (used == 0) break;
+  }
+  return true;
 }
 
 void HttpClient::OnReceived(const ConnectionPtr& connection, bool failed) {
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -57,6 +57,7 @@
   void Connect(const ConnectionPtr& connection);
   void Send(const ConnectionPtr& connection);
   void Receive(const ConnectionPtr& connection);
+  static bool Parse(Connection& connection, boost::system::error_code received);
   void OnReceived(const ConnectionPtr& connection, bool failed);
   void Finish(const ConnectionPtr& connection, CallEnd end);
   void Keep(const ConnectionPtr& connection);
--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -17,12 +17,13 @@
 using tcp = asio::ip::tcp;
 
 namespace {
+constexpr std::size_t kReadBytes = 4 << 10;  // asked for in one read
 constexpr int kListenBacklog = 1024;
 constexpr absl::Duration kAcceptPause = absl::Milliseconds(50);  // after a failed accept, for example without descriptors
 }  // namespace
 
 struct HttpServer::Connection {
-  explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) {}
+  explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) { buffer.reserve(kReadBytes); }
 
   std::uint64_t id = 0;
   tcp::socket socket;
