--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -10,7 +10,8 @@
 namespace oleander::serving {
 namespace {
 
-constexpr absl::Duration kLoadingPause = absl::Milliseconds(120);     // an engine that takes new weights, before the next try
+constexpr absl::Duration kFullPause = absl::Milliseconds(120);     // an engine that is full, before the next try
+constexpr absl::Duration kLoadingPause = absl::Milliseconds(900);  // an engine that takes new weights, unless the list says that it has them
 constexpr absl::Duration kMisdirectedPause = absl::Milliseconds(400);  // the list names another incarnation, or old weights
 constexpr absl::Duration kFailedPause = absl::Milliseconds(50);       // an item whose run failed
 constexpr absl::Duration kUnexpectedPause = absl::Milliseconds(500);  // an answer that the protocol does not give to runs
@@ -409,7 +410,10 @@
     Requeue(job, *item, absl::ZeroDuration(), "misdirected");
   } else if (end == CallEnd::kComplete && item->head.not_run) {
     // Full, or taking new weights for this model; other models go on.
-    if (upstream != nullptr) upstream->loading_until[job.submission.model] = now + kLoadingPause;
+    if (upstream != nullptr) {
+      const bool full = item->head.load && item->head.load->running >= item->head.load->slots;
+      upstream->loading_until[job.submission.model] = now + (full ? kFullPause : kLoadingPause);
+    }
     Requeue(job, *item, absl::ZeroDuration(), "not_run");
   } else if (end == CallEnd::kComplete) {
     Requeue(job, *item, kUnexpectedPause, "unexpected_status");
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -60,6 +60,8 @@
   state.removal_due = absl::InfiniteFuture();
   for (const std::pair<const std::string, std::int64_t>& it : entry.weights) {
     std::int64_t& observed = state.observed_weights[it.first];
+    // Newer weights than known: the engine has finished to load them.
+    if (it.second > observed) state.loading_until.erase(it.first);
     observed = std::max(observed, it.second);
   }
 }
