--- a/src/serving/weights_control.h
+++ b/src/serving/weights_control.h
@@ -27,7 +27,7 @@
   absl::Duration watch_every = absl::Milliseconds(900);     // reads of the lease by the others
   absl::Duration report_every = absl::Milliseconds(250);    // of an engine that is loading
   absl::Duration load_patience = absl::Seconds(6);          // an accepted order that shows no effect is forgotten
-  double copies = 1;                                        // models that an engine holds; half of a model's engines load a version
+  double copies = 2;                                        // models that an engine holds; half of a model's engines load a version
 };
 
 class WeightsControl {
