--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -140,35 +140,44 @@
   if (loading >= most_at_once) return {};
 
   struct Candidate {
+    const EngineWeights* engine;
     std::int64_t behind;  // versions
-    int running;
-    LoadChoice load;
+    std::uint64_t rank;
   };
-  std::vector<Candidate> candidates;
+  LoadChoice best;
+  std::int64_t best_behind = 0;
   for (const std::pair<const std::string, std::int64_t>& name : named) {
     const auto holders = assigned.find(name.first);
-    if (holders == assigned.end() || holders->second.empty()) continue;
+    if (holders == assigned.end()) continue;
+    std::vector<Candidate> candidates;
     int newest = 0;
+    int too_old = 0;
     for (const EngineWeights& it : engines) {
       if (!Contains(holders->second, it.id)) continue;
       const auto held = it.held.find(name.first);
-      if (held != it.held.end() && held->second >= name.second) ++newest;
+      const std::int64_t behind = name.second - (held == it.held.end() ? 0 : held->second);
+      if (behind <= 0) {
+        ++newest;
+        continue;
+      }
+      too_old += behind > 1 ? 1 : 0;
+      candidates.push_back({&it, behind, HashText(absl::StrCat(name.first, "/", name.second, "/", it.id))});
     }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+      return std::pair(-a.behind, a.rank) < std::pair(-b.behind, b.rank);
+    });
     const int half = (static_cast<int>(holders->second.size()) + 1) / 2;
-    for (const EngineWeights& it : engines) {
-      if (it.loading || now < it.blocked_until || !Contains(holders->second, it.id)) continue;
-      const auto held = it.held.find(name.first);
-      const std::int64_t behind = name.second - (held == it.held.end() ? 0 : held->second);
-      if (behind <= 0 || (behind == 1 && newest >= half)) continue;
-      candidates.push_back({behind, it.running, {it.id, name.first, name.second}});
+    const int wanted = std::max(too_old, half - newest);
+    for (int it = 0; it < wanted && it < static_cast<int>(candidates.size()); ++it) {
+      const Candidate& candidate = candidates[it];
+      if (!candidate.engine->mine || candidate.engine->loading || now < candidate.engine->blocked_until) continue;
+      if (!best.engine.empty() && candidate.behind <= best_behind) break;
+      best = {candidate.engine->id, name.first, name.second};
+      best_behind = candidate.behind;
+      break;
     }
   }
-  const auto first = std::min_element(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
-    if ((a.behind > 1) != (b.behind > 1)) return a.behind > 1;
-    if (a.running != b.running) return a.running < b.running;
-    return a.load.engine < b.load.engine;
-  });
-  return first == candidates.end() ? LoadChoice{} : first->load;
+  return best;
 }
 
 std::map<std::string, std::vector<std::string>> AssignModels(const std::vector<std::string>& engines,
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -75,16 +75,17 @@
   std::map<std::string, std::int64_t> held;     // version by model
   bool loading = false;                         // an order is in progress
   absl::Time blocked_until = absl::InfinitePast();  // do not order before
-  int running = 0;                              // requests
+  bool mine = false;                            // this host may order it
 };
 struct LoadChoice {
   std::string engine;  // empty: nothing to load now
   std::string model;   //
   std::int64_t version = 0;
 };
-// The next load, given how many are in progress. Steps accept the version before the named one, so half of a
-// model's engines load each version, in turn: an engine that holds the one before goes on serving.
-// Engines that are too old for the next step come first, the least busy of them first.
+// The next load that this host should order, unless `most_at_once` of its engines are loading. Steps accept the
+// version before the named one, so half of a model's engines load each version, in turn: an engine that holds the
+// one before goes on serving. Engines that are too old for the step come first. All hosts rank the engines alike,
+// so that the holders of different zones choose the same ones.
 LoadChoice PickLoad(const std::vector<EngineWeights>& engines, const std::map<std::string, std::int64_t>& named,
                     const std::map<std::string, std::vector<std::string>>& assigned, int most_at_once, absl::Time now);
 
--- a/src/serving/weights_control.cc
+++ b/src/serving/weights_control.cc
@@ -1,6 +1,7 @@
 #include "serving/weights_control.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "oleander/log_events.h"
@@ -15,7 +16,9 @@
 constexpr absl::Duration kRefusedOrder = absl::Milliseconds(700);  // before the same engine is ordered again
 constexpr absl::Duration kStoreRetry = absl::Milliseconds(300);
 
-RowKey LeaseRow(const std::string& service) { return {std::string(kLeaseTable), std::string(kPartition), service}; }
+RowKey LeaseRow(const std::string& service, const std::string& zone) {
+  return {std::string(kLeaseTable), std::string(kPartition), service + "/" + zone};
+}
 
 }  // namespace
 
@@ -23,9 +26,16 @@
                                WeightsSettings settings)
     : loop_(loop), store_(store), link_(link), directory_(directory), settings_(std::move(settings)) {}
 
-bool WeightsControl::holds(const std::string& service) const {
+bool WeightsControl::holds(const std::string& service, const std::string& zone) const {
   const auto it = services_.find(service);
-  return it != services_.end() && it->second.holder;
+  if (it == services_.end()) return false;
+  const auto lease = it->second.leases.find(zone);
+  return lease != it->second.leases.end() && lease->second.holder;
+}
+
+bool WeightsControl::MayOrder(const Service& service, const std::string& zone) const {
+  const auto it = service.leases.find(zone);
+  return it != service.leases.end() && it->second.holder && loop_.Now() < it->second.order_until;
 }
 
 WeightsControl::Engine* WeightsControl::FindEngine(const std::string& name, const std::string& engine) {
@@ -41,113 +51,127 @@
   for (const ServiceSpec& spec : directory_.policy().services) {
     if (spec.models.empty()) continue;
     Service& service = services_[spec.name];
-    if (!service.calling && now >= service.next_store_call) {
-      if (service.holder) {
-        RenewLease(spec.name, service);
-      } else {
-        WatchLease(spec.name, service);
-      }
+    for (const UpstreamState* it : directory_.Usable(spec.name)) service.leases.try_emplace(it->entry.zone);
+    bool holder = false;
+    for (std::pair<const std::string, Lease>& it : service.leases) {
+      if (!it.second.holder) continue;
+      holder = holder || now < it.second.order_until;
+      if (!it.second.calling && now >= it.second.next_renewal) RenewLease(spec.name, it.first, it.second);
     }
-    if (service.holder && now < service.order_until) {
+    if (!service.watching && now >= service.next_watch) WatchLeases(spec.name, service);
+    if (holder) {
       SyncEngines(spec, service);
       OrderLoads(spec, service);
     }
   }
 }
 
-// ---- Lease ------------------------------------------------------------------------------------------------
+// ---- Leases -----------------------------------------------------------------------------------------------
 
-void WeightsControl::WatchLease(const std::string& name, Service& service) {
-  service.calling = true;
-  service.next_store_call = loop_.Now() + settings_.watch_every;
-  store_.Get({std::string(kLeaseTable), std::string(kPartition), name, name + std::string(1, '\0'), 1},
+void WeightsControl::WatchLeases(const std::string& name, Service& service) {
+  service.watching = true;
+  service.next_watch = loop_.Now() + settings_.watch_every;
+  store_.Get({std::string(kLeaseTable), std::string(kPartition), name + "/", name + "0", 0},
              [this, name](const StoreReply& reply) {
                Service& found = services_[name];
-               found.calling = false;
-               if (reply.outcome != StoreOutcome::kOk || released_ || found.holder) return;
-               const std::int64_t version = reply.rows.empty() ? 0 : reply.rows[0].version;
-               const absl::Time now = loop_.Now();
-               if (version != found.seen_version) {
-                 found.seen_version = version;
-                 found.seen_since = now;
-                 found.seen_released = !reply.rows.empty() && reply.rows[0].value == kReleased;
+               found.watching = false;
+               if (reply.outcome != StoreOutcome::kOk || released_) return;
+               for (std::pair<const std::string, Lease>& it : found.leases) {
+                 const Row* row = nullptr;
+                 for (const Row& candidate : reply.rows) {
+                   if (candidate.id.key == LeaseRow(name, it.first).key) row = &candidate;
+                 }
+                 if (!it.second.holder && !it.second.calling) JudgeLease(name, it.first, it.second, row);
                }
-               // The first holder of all needs no gap; after a release nothing was ordered for a while already.
-               const absl::Duration quiet = version == 0          ? absl::ZeroDuration()
-                                            : found.seen_released ? settings_.hand_over_gap + kMargin
-                                                                  : settings_.order_window + settings_.hand_over_gap + kMargin;
-               if (now - found.seen_since >= quiet) TakeLease(name, found, version);
              });
 }
 
-void WeightsControl::TakeLease(const std::string& name, Service& service, std::int64_t version) {
-  service.calling = true;
+// Takes a lease whose row has not changed for so long that its holder has stopped ordering for the gap.
+void WeightsControl::JudgeLease(const std::string& name, const std::string& zone, Lease& lease, const Row* row) {
+  const absl::Time now = loop_.Now();
+  const std::int64_t version = row == nullptr ? 0 : row->version;
+  if (version != lease.seen_version) {
+    lease.seen_version = version;
+    lease.seen_since = now;
+    lease.seen_released = row != nullptr && row->value == kReleased;
+  }
+  absl::Duration quiet = settings_.order_window + settings_.hand_over_gap + kMargin;
+  if (version == 0) quiet = absl::ZeroDuration();  // nobody has ever ordered
+  if (lease.seen_released) quiet = settings_.hand_over_gap + kMargin;
+  if (zone != settings_.zone) quiet += settings_.other_zone_delay;
+  if (now - lease.seen_since >= quiet) TakeLease(name, zone, lease, version);
+}
+
+void WeightsControl::TakeLease(const std::string& name, const std::string& zone, Lease& lease, std::int64_t version) {
+  lease.calling = true;
   const absl::Time sent = loop_.Now();
   Transaction transaction;
-  transaction.conditions = {{LeaseRow(name), version}};
-  transaction.writes = {{LeaseRow(name), settings_.incarnation}};
-  store_.Commit(transaction, [this, name, sent](const StoreReply& reply) {
-    Service& found = services_[name];
+  transaction.conditions = {{LeaseRow(name, zone), version}};
+  transaction.writes = {{LeaseRow(name, zone), settings_.incarnation}};
+  store_.Commit(transaction, [this, name, zone, sent](const StoreReply& reply) {
+    Lease& found = services_[name].leases[zone];
     found.calling = false;
     found.seen_version = -1;
     if (reply.outcome != StoreOutcome::kOk || released_) return;
     found.holder = true;
-    found.lease_version = reply.version;
+    found.version = reply.version;
     found.fence = reply.version;
     found.order_until = sent + settings_.order_window;
-    found.next_store_call = sent + settings_.renew_every;
-    found.engines.clear();
-    LogEventLine(LogLevel::kInfo, LogEvent::kLeaseTaken, {{"lease", "weights"}, {"service", name}, {"fence", found.fence}});
+    found.next_renewal = sent + settings_.renew_every;
+    LogEventLine(LogLevel::kInfo, LogEvent::kLeaseTaken,
+                 {{"lease", "weights"}, {"service", name}, {"zone", zone}, {"fence", found.fence}});
   });
 }
 
-void WeightsControl::RenewLease(const std::string& name, Service& service) {
-  service.calling = true;
+void WeightsControl::RenewLease(const std::string& name, const std::string& zone, Lease& lease) {
+  lease.calling = true;
   const absl::Time sent = loop_.Now();
-  service.next_store_call = sent + settings_.renew_every;
+  lease.next_renewal = sent + settings_.renew_every;
   Transaction transaction;
-  transaction.conditions = {{LeaseRow(name), service.lease_version}};
-  transaction.writes = {{LeaseRow(name), settings_.incarnation}};
-  store_.Commit(transaction, [this, name, sent](const StoreReply& reply) {
-    Service& found = services_[name];
+  transaction.conditions = {{LeaseRow(name, zone), lease.version}};
+  transaction.writes = {{LeaseRow(name, zone), settings_.incarnation}};
+  store_.Commit(transaction, [this, name, zone, sent](const StoreReply& reply) {
+    Lease& found = services_[name].leases[zone];
     found.calling = false;
     if (!found.holder) return;
     if (reply.outcome == StoreOutcome::kOk) {
-      found.lease_version = reply.version;
+      found.version = reply.version;
       found.order_until = sent + settings_.order_window;
       return;
     }
     if (reply.outcome == StoreOutcome::kConflict) {
       for (const Row& it : reply.rows) {
         if (it.value != settings_.incarnation) continue;
-        // An earlier renewal took effect and its answer was lost; the window of that renewal is unknown.
-        found.lease_version = it.version;
-        found.next_store_call = loop_.Now();
+        // An earlier renewal took effect and its answer was lost; only a new one opens the window again.
+        found.version = it.version;
+        found.next_renewal = loop_.Now();
         return;
       }
-      Lose(name, found, "taken_by_another");
+      Lose(name, zone, found, "taken_by_another");
       return;
     }
-    found.next_store_call = loop_.Now() + kStoreRetry;
+    found.next_renewal = loop_.Now() + kStoreRetry;
   });
 }
 
-void WeightsControl::Lose(const std::string& name, Service& service, std::string_view reason) {
-  LogEventLine(LogLevel::kWarning, LogEvent::kLeaseLost, {{"lease", "weights"}, {"service", name}, {"reason", reason}});
-  service.holder = false;
-  service.engines.clear();
-  service.order_until = absl::InfinitePast();
+void WeightsControl::Lose(const std::string& name, const std::string& zone, Lease& lease, std::string_view reason) {
+  LogEventLine(LogLevel::kWarning, LogEvent::kLeaseLost,
+               {{"lease", "weights"}, {"service", name}, {"zone", zone}, {"reason", reason}});
+  lease.holder = false;
+  lease.order_until = absl::InfinitePast();
 }
 
 void WeightsControl::Release() {
   released_ = true;
-  for (std::pair<const std::string, Service>& it : services_) {
-    if (!it.second.holder) continue;
-    Transaction transaction;
-    transaction.conditions = {{LeaseRow(it.first), it.second.lease_version}};
-    transaction.writes = {{LeaseRow(it.first), std::string(kReleased)}};
-    store_.Commit(transaction, [](const StoreReply&) {});  // unanswered: the lease runs out instead
-    Lose(it.first, it.second, "released");
+  for (std::pair<const std::string, Service>& service : services_) {
+    for (std::pair<const std::string, Lease>& it : service.second.leases) {
+      if (!it.second.holder) continue;
+      Transaction transaction;
+      transaction.conditions = {{LeaseRow(service.first, it.first), it.second.version}};
+      transaction.writes = {{LeaseRow(service.first, it.first), std::string(kReleased)}};
+      store_.Commit(transaction, [](const StoreReply&) {});  // unanswered: the lease runs out instead
+      Lose(service.first, it.first, it.second, "released");
+    }
   }
 }
 
@@ -162,11 +186,13 @@
       engine = Engine();
       engine.started_ms = it->entry.started_ms;
     }
+    engine.zone = it->entry.zone;
     engine.weights.id = it->entry.id;
-    engine.weights.running = EstimateRunning(*it, loop_.Now());
+    engine.weights.mine = MayOrder(service, engine.zone);
     for (const std::pair<const std::string, std::int64_t>& held : it->observed_weights) {
       std::int64_t& known = engine.weights.held[held.first];
-      known = std::max(known, held.second);
+      if (held.second < known && !engine.weights.loading) engine.report_known = false;
+      if (held.second > known || !engine.weights.loading) known = held.second;
     }
   }
   std::erase_if(service.engines, [&present](const std::pair<const std::string, Engine>& it) {
@@ -188,7 +214,6 @@
         // Its effect may still come: what the engine holds is read again from its report.
         engine.weights.loading = false;
         engine.report_known = false;
-        engine.weights.held[engine.loading_model] = 0;
       } else if (!engine.asking && now >= engine.next_report) {
         AskReport(spec.name, it.first);
       }
@@ -196,7 +221,9 @@
     engines.push_back(engine.weights);
   }
   const std::map<std::string, std::int64_t>& named = directory_.named_versions();
-  const int most = MostLoadsAtOnce(static_cast<int>(engines.size()));
+  int mine = 0;
+  for (const EngineWeights& it : engines) mine += it.mine ? 1 : 0;
+  const int most = MostLoadsAtOnce(mine);
   while (true) {
     const LoadChoice load = PickLoad(engines, named, service.assigned, most, now);
     if (load.engine.empty()) return;
@@ -256,12 +283,12 @@
   Engine* const engine = FindEngine(name, load.engine);
   UpstreamState* const upstream = directory_.Find(load.engine);
   // Checked again here: this host may have been suspended since the tick began.
-  if (engine == nullptr || upstream == nullptr || !service.holder || loop_.Now() >= service.order_until) return;
+  if (engine == nullptr || upstream == nullptr || !MayOrder(service, engine->zone)) return;
   WeightsOrder order;
   order.model = load.model;
   order.version = load.version;
   order.holder = settings_.incarnation;
-  order.fence = service.fence;
+  order.fence = service.leases[engine->zone].fence;
   order.orders_accepted = engine->orders_accepted;
   engine->asking = true;
   engine->weights.loading = true;
@@ -282,13 +309,16 @@
     const absl::Time now = loop_.Now();
     if (outcome == OrderOutcome::kAccepted) {
       ++found->orders_accepted;
-      found->next_report = now + settings_.report_every * 2;
+      found->next_report = now + settings_.load_time;
       return;
     }
     found->weights.loading = false;
-    if (outcome == OrderOutcome::kAlreadyHolds) return;
+    if (outcome == OrderOutcome::kAlreadyHolds) {
+      UpstreamState* const state = directory_.Find(load.engine);
+      if (state != nullptr) state->observed_weights[load.model] = load.version;
+      return;
+    }
     found->report_known = false;
-    found->weights.held[load.model] = load.version - 1;  // corrected by the report that comes first
     found->weights.blocked_until = now + (outcome == OrderOutcome::kBusyOrMoved ? settings_.report_every : kRefusedOrder);
   });
 }
