--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -145,7 +145,7 @@
     std::uint64_t rank;
   };
   LoadChoice best;
-  std::int64_t best_behind = 0;
+  std::pair<bool, double> best_order;  // lower goes first
   for (const std::pair<const std::string, std::int64_t>& name : named) {
     const auto holders = assigned.find(name.first);
     if (holders == assigned.end()) continue;
@@ -171,9 +171,14 @@
     for (int it = 0; it < wanted && it < static_cast<int>(candidates.size()); ++it) {
       const Candidate& candidate = candidates[it];
       if (!candidate.engine->mine || candidate.engine->loading || now < candidate.engine->blocked_until) continue;
-      if (!best.engine.empty() && candidate.behind <= best_behind) break;
-      best = {candidate.engine->id, name.first, name.second};
-      best_behind = candidate.behind;
+      // Engines that are too old, then the model with the fewest current engines: after an outage each trainer gets
+      // some engines early.
+      const std::pair<bool, double> order = {candidate.behind <= 1,
+                                             static_cast<double>(newest) / static_cast<double>(holders->second.size())};
+      if (best.engine.empty() || order < best_order) {
+        best = {candidate.engine->id, name.first, name.second};
+        best_order = order;
+      }
       break;
     }
   }
