--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -36,6 +36,8 @@
   std::uint64_t run = 0;
   CallId call = 0;
   std::string upstream;
+  absl::Time first_started = absl::InfiniteFuture();  // of all runs here
+  int runs = 0;
   absl::Time started;
   absl::Time last_progress;
   int events_in_run = 0;
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -247,6 +247,8 @@
   item.run = run;
   item.upstream = upstream.entry.id;
   item.started = now;
+  item.first_started = std::min(item.first_started, now);
+  ++item.runs;
   item.last_progress = now;
   item.events_in_run = 0;
   item.head = {};
@@ -431,6 +433,8 @@
                 {"state", state == ItemState::kCompleted ? "completed" : "abandoned"},
                 {"upstream", item.upstream},
                 {"events", item.events},
+                {"runs", item.runs},
+                {"since_start_ms", absl::ToInt64Milliseconds(loop_.Now() - std::min(item.first_started, loop_.Now()))},
                 {"age_ms", absl::ToInt64Milliseconds(StoreNow() - job.lease.accepted_at)}});
   StopRun(job, item);
   job.waiting.erase(item.rank);
--- a/src/serving/weights_control.h
+++ b/src/serving/weights_control.h
@@ -33,7 +33,7 @@
   absl::Duration load_time = absl::Milliseconds(900);       // of an order, from its acceptance
   absl::Duration report_every = absl::Milliseconds(120);    // of an engine that should have loaded by now
   absl::Duration load_patience = absl::Seconds(6);          // an accepted order that shows no effect is forgotten
-  double copies = 2;                                        // models that an engine holds; half of a model's engines load a version
+  double copies = 1;                                        // models that an engine holds; half of a model's engines load a version
 };
 
 class WeightsControl {
