--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -460,17 +460,10 @@
   if (route == nullptr || route->services.empty()) return;
   const absl::Time now = loop_.Now();
   const std::vector<UpstreamState*> usable = directory_.Usable(route->services.front().service);
-  const double usual = MedianGap(usable, now);
+  const double usual = MedianPace(usable);
   bool moved = false;
   for (Item& it : job.items) {
     if (it.phase != Phase::kRunning || now - it.started < kLeastRunBeforeMove) continue;
-    const UpstreamState* const upstream = directory_.Find(it.upstream);
-    const double gap = upstream == nullptr ? usual : upstream->gap_ms;
-    RunProgress progress;
-    progress.since_last_event = now - it.last_progress;
-    progress.events = it.events_in_run;
-    progress.age = now - it.started;
-    if (!ShouldMoveRun(progress, gap, usual, true)) continue;
     ItemChoice choice;
     choice.model = job.submission.model;
     choice.min_version = job.submission.min_version;
@@ -479,9 +472,15 @@
     choice.avoided = it.upstream;
     choice.now = now;
     const UpstreamState* const other = PickForItem(usable, choice);
-    if (other == nullptr || other->entry.id == it.upstream || other->gap_ms * 1.3 >= gap) {
-      if (other == nullptr || other->entry.id == it.upstream || it.last_progress + settings_.silence_limit / 2 > now) continue;
-    }
+    if (other == nullptr || other->entry.id == it.upstream) continue;
+    const UpstreamState* const upstream = directory_.Find(it.upstream);
+    RunProgress progress;
+    progress.since_last_event = now - it.last_progress;
+    progress.events_here = it.events_in_run;
+    progress.events = it.events;
+    progress.gap_ms = upstream == nullptr ? usual : ExpectedGap(*upstream, usual, now);
+    progress.other_gap_ms = ExpectedGap(*other, usual, now);
+    if (!ShouldMoveRun(progress)) continue;
     Requeue(job, it, absl::ZeroDuration(), "slow");
     moved = true;
   }
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -21,8 +21,14 @@
 constexpr double kLeastRetryAfter = 0.1;                          // seconds
 constexpr double kRetryAfterSpread = 0.3;                         // seconds
 constexpr double kRetryShareOfTimeLeft = 0.3;                     // callers wait at most a third of it
-constexpr absl::Duration kGapMemory = absl::Milliseconds(1500);   // averages older than this say nothing
-constexpr double kSlowFactor = 1.8;                               // times the usual gap
+constexpr absl::Duration kGapMemory = absl::Milliseconds(400);    // neighbours slow an engine for half a second
+constexpr double kLoadCost = 0.2;                                 // of a full engine: each run slows the others a little
+constexpr double kGroupShare = 0.1;                               // worth of an engine that has read the prompt
+constexpr double kOtherZoneCost = 0.03;                           // bytes between zones are few
+constexpr double kAvoidedCost = 0.5;                              // of the engine that just failed the item
+constexpr double kSlowFactor = 1.8;                               // times the gap elsewhere
+constexpr double kSlowFactorOfLongRun = 1.2;                      // for runs that are likely to be the step's last
+constexpr std::int64_t kLongRunEvents = 24;                       // above the usual length; most of the others have ended
 constexpr int kEventsToJudge = 6;                                 // events of a run before its pace is judged
 constexpr absl::Duration kSilenceFloor = absl::Milliseconds(600); // weights loads pause a stream for longer than noise
 constexpr double kSilenceFactor = 12;                             // times the usual gap
@@ -85,6 +91,8 @@
 }
 
 UpstreamState* PickForItem(const std::vector<UpstreamState*>& usable, const ItemChoice& choice) {
+  const double known = MedianPace(usable);
+  const double usual = known > 0 ? known : 1;  // only ratios count
   UpstreamState* best = nullptr;
   double best_cost = 0;
   for (UpstreamState* it : usable) {
@@ -97,13 +105,10 @@
     const int slots = std::max(1, it->entry.slots);
     const int running = EstimateRunning(*it, choice.now);
     if (running >= slots) continue;
-    double cost = static_cast<double>(running) / slots;
-    const double fresh = Freshness(it->gap_at, choice.now, kGapMemory);
-    cost += fresh * it->gap_ms / 100.0;
-    if (it->entry.id == choice.preferred) cost -= 0.25;
-    if (it->entry.id == choice.avoided) cost += 1;
-    if (it->entry.zone != choice.zone) cost += 0.05;
-    if (choice.prefer_newest && held > choice.min_version) cost -= 0.5;
+    double cost = ExpectedGap(*it, usual, choice.now) / usual * (1 + kLoadCost * running / slots);
+    if (it->entry.id == choice.preferred) cost -= kGroupShare;
+    if (it->entry.id == choice.avoided) cost += kAvoidedCost;
+    if (it->entry.zone != choice.zone) cost += kOtherZoneCost;
     if (best == nullptr || cost < best_cost) {
       best = it;
       best_cost = cost;
@@ -112,22 +117,29 @@
   return best;
 }
 
-double MedianGap(const std::vector<UpstreamState*>& usable, absl::Time now) {
-  std::vector<double> gaps;
+double MedianPace(const std::vector<UpstreamState*>& usable) {
+  std::vector<double> paces;
   for (const UpstreamState* it : usable) {
-    if (it->gap_ms > 0 && now - it->gap_at <= 4 * kGapMemory) gaps.push_back(it->gap_ms);
+    if (it->pace_ms > 0) paces.push_back(it->pace_ms);
   }
-  if (gaps.empty()) return 0;
-  const std::size_t middle = gaps.size() / 2;
-  std::nth_element(gaps.begin(), gaps.begin() + static_cast<std::ptrdiff_t>(middle), gaps.end());
-  return gaps[middle];
+  if (paces.empty()) return 0;
+  const std::size_t middle = paces.size() / 2;
+  std::nth_element(paces.begin(), paces.begin() + static_cast<std::ptrdiff_t>(middle), paces.end());
+  return paces[middle];
 }
 
-bool ShouldMoveRun(const RunProgress& run, double gap_ms, double usual_gap_ms, bool other_has_room) {
-  if (!other_has_room || usual_gap_ms <= 0) return false;
-  const absl::Duration silence = std::max(kSilenceFloor, absl::Milliseconds(usual_gap_ms * kSilenceFactor));
-  if (run.since_last_event >= silence) return true;
-  return run.events >= kEventsToJudge && gap_ms >= kSlowFactor * usual_gap_ms;
+double ExpectedGap(const UpstreamState& upstream, double usual_gap_ms, absl::Time now) {
+  const double pace = upstream.pace_ms > 0 ? upstream.pace_ms : usual_gap_ms;
+  if (upstream.gap_ms <= pace) return pace;
+  return pace + (upstream.gap_ms - pace) * Freshness(upstream.gap_at, now, kGapMemory);
+}
+
+bool ShouldMoveRun(const RunProgress& run) {
+  if (run.other_gap_ms <= 0) return false;
+  if (run.since_last_event >= std::max(kSilenceFloor, absl::Milliseconds(run.other_gap_ms * kSilenceFactor))) return true;
+  if (run.events_here < kEventsToJudge) return false;
+  const double gain = run.gap_ms / run.other_gap_ms;
+  return gain >= kSlowFactor || (run.events >= kLongRunEvents && gain >= kSlowFactorOfLongRun);
 }
 
 int MostLoadsAtOnce(int engines) { return std::max(1, static_cast<int>(std::lround(engines / 5.0))); }
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -44,7 +44,6 @@
   std::string zone;                   // of this host
   std::string avoided;                // upstream that just failed it; empty: none
   std::string preferred;              // upstream that has read the group's prompt; empty: none
-  bool prefer_newest = false;         // the text may be used again under a later min_version
   absl::Time now;                     //
 };
 // An upstream with a free slot that holds usable weights, or nullptr: the item waits here, where it can still
@@ -56,17 +55,23 @@
 // report.
 int EstimateRunning(const UpstreamState& upstream, absl::Time now);
 
+// Expected time between events of a run that is placed there now.
+double ExpectedGap(const UpstreamState& upstream, double usual_gap_ms, absl::Time now);
+
 struct RunProgress {
   absl::Duration since_last_event;  // or since the start
-  int events = 0;                   // of this run
-  absl::Duration age;               // of this run
+  int events_here = 0;              // of this run
+  std::int64_t events = 0;          // of the text
+  double gap_ms = 0;                // of the upstream at this moment
+  double other_gap_ms = 0;          // of the best other upstream with room; 0: none has room
 };
-// True if a run should be broken off and continued elsewhere from its last event. `usual_gap_ms` is the median
-// over the upstreams of the service. Load answered: an engine that turns slow or silent for seconds while a
-// step's last items run there.
-bool ShouldMoveRun(const RunProgress& run, double gap_ms, double usual_gap_ms, bool other_has_room);
+// True if a run should be broken off and continued elsewhere from its last event, which costs some ten
+// milliseconds. Load answered: a step's last items on engines that turn slow or silent for a moment, or that are
+// slower than others at all times.
+bool ShouldMoveRun(const RunProgress& run);
 
-double MedianGap(const std::vector<UpstreamState*>& usable, absl::Time now);
+// Median of the known paces; 0: none is known.
+double MedianPace(const std::vector<UpstreamState*>& usable);
 
 // ---- Weights ----------------------------------------------------------------------------------------------
 
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -11,6 +11,8 @@
 
 constexpr double kLatencyWeight = 0.2;  // of a new sample in the moving average
 constexpr double kGapWeight = 0.15;     // events come in bursts after a pause, so single gaps say little
+constexpr double kPaceWeight = 0.03;    // a second of one run, so that noise on the engine's machine averages out
+constexpr double kPaceOutlier = 3;      // times the pace; a longer pause is a load of weights or a move
 constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(150);
 constexpr absl::Duration kLongestAvoidance = absl::Seconds(2);
 constexpr int kMostDoublings = 4;
@@ -141,6 +143,16 @@
   const double ms = absl::ToDoubleMilliseconds(gap);
   upstream.gap_ms = upstream.gap_ms == 0 ? ms : upstream.gap_ms + kGapWeight * (ms - upstream.gap_ms);
   upstream.gap_at = now;
+  if (!upstream.pace_own) {
+    upstream.pace_ms = upstream.pace_ms == 0 ? ms : (upstream.pace_ms + ms) / 2;
+    upstream.pace_own = true;
+  } else {
+    upstream.pace_ms += kPaceWeight * (std::min(ms, kPaceOutlier * upstream.pace_ms) - upstream.pace_ms);
+  }
+}
+
+void LearnPace(UpstreamState& upstream, double pace_ms) {
+  if (!upstream.pace_own && pace_ms > 0) upstream.pace_ms = pace_ms;
 }
 
 void ObserveFailure(UpstreamState& upstream, absl::Time now) {
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -30,6 +30,8 @@
   absl::Time latency_at = absl::InfinitePast();
   double gap_ms = 0;                  // moving average of the time between events of a stream; 0: none yet
   absl::Time gap_at = absl::InfinitePast();
+  double pace_ms = 0;                 // long average of the same; engines of one service differ; 0: none yet
+  bool pace_own = false;              // measured here, not learned from another host
   std::map<std::string, std::int64_t> observed_weights;  // version by model, from answers
   std::map<std::string, absl::Time> loading_until;       // by model: refused while an order is carried out
 };
@@ -76,6 +78,8 @@
 void ObserveHead(UpstreamState& upstream, const AnswerHead& head, const std::string& model, absl::Time now);
 void ObserveLatency(UpstreamState& upstream, absl::Duration latency, absl::Time now);
 void ObserveEventGap(UpstreamState& upstream, absl::Duration gap, absl::Time now);
+// Learns an engine's pace from another host, unless this host has measured it.
+void LearnPace(UpstreamState& upstream, double pace_ms);
 // A call failed or was refused: avoid the upstream for a time that grows with each failure in a row.
 void ObserveFailure(UpstreamState& upstream, absl::Time now);
 void ObserveSuccess(UpstreamState& upstream);
