--- a/src/serving/batch_records.cc
+++ b/src/serving/batch_records.cc
@@ -129,6 +129,14 @@
   });
 }
 
+std::string EncodePaces(const std::map<std::string, double>& paces) { return Pack(paces); }
+
+std::map<std::string, double> DecodePaces(std::string_view bytes) {
+  return Decode<std::map<std::string, double>>(
+             bytes, [](const Json& value) { return value.get<std::map<std::string, double>>(); })
+      .value_or(std::map<std::string, double>());
+}
+
 std::vector<RowWrite> SplitIntoRows(std::string_view table, const std::string& partition, const std::string& key,
                                     std::string_view bytes, std::size_t most) {
   const std::size_t count = (bytes.size() + 1 + most - 1) / most;
--- a/src/serving/batch_records.h
+++ b/src/serving/batch_records.h
@@ -4,6 +4,7 @@
 #define OLEANDER_SRC_SERVING_BATCH_RECORDS_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -49,6 +50,12 @@
 std::string EncodePartial(const PartialText& partial);
 std::optional<PartialText> DecodePartial(std::string_view bytes);
 
+// Time between events by upstream id, in milliseconds; in table "pace", partitioned by service.
+inline constexpr std::string_view kPaceTable = "pace";
+inline constexpr std::string_view kPaceKey = "measured";
+std::string EncodePaces(const std::map<std::string, double>& paces);
+std::map<std::string, double> DecodePaces(std::string_view bytes);
+
 // Cuts `bytes` into rows of at most `most` bytes: `key`, `key`/001, ... The first byte of the first row is the
 // number of rows.
 std::vector<RowWrite> SplitIntoRows(std::string_view table, const std::string& partition, const std::string& key,
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -68,6 +68,8 @@
 
 void BatchService::LoadPartials(Job& job) {
   const std::string id = job.submission.id;
+  const Route* const known_route = directory_.FindRoute(job.submission.host, job.submission.path);
+  if (known_route != nullptr && !known_route->services.empty()) LearnPaces(known_route->services.front().service, [] {});
   store_.Get({std::string(kPartialTable), PartialPartition(job), "", "", 0}, [this, id](const StoreReply& reply) {
     NoteStoreTime(reply);
     Job* const found = FindJob(id);
@@ -164,6 +166,39 @@
   });
 }
 
+// ---- Paces ------------------------------------------------------------------------------------------------
+
+// Owners change with each step; the next one starts with what the others have measured.
+void BatchService::SharePaces(Job& job) {
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  if (route == nullptr || route->services.empty()) return;
+  const std::string service = route->services.front().service;
+  std::map<std::string, double> paces;
+  bool measured = false;
+  for (const UpstreamState* it : directory_.Usable(service)) {
+    if (it->pace_ms > 0) paces[it->entry.id] = it->pace_ms;
+    measured = measured || it->pace_own;
+  }
+  if (!measured) return;
+  Transaction transaction;
+  transaction.writes = {{{std::string(kPaceTable), service, std::string(kPaceKey)}, EncodePaces(paces)}};
+  store_.Commit(transaction, [this](const StoreReply& reply) { NoteStoreTime(reply); });  // a loss costs speed only
+}
+
+void BatchService::LearnPaces(const std::string& service, std::function<void()> done) {
+  store_.Get({std::string(kPaceTable), service, std::string(kPaceKey), "", 1},
+             [this, done = std::move(done)](const StoreReply& reply) {
+               NoteStoreTime(reply);
+               const std::map<std::string, double> paces =
+                   reply.rows.empty() ? std::map<std::string, double>() : DecodePaces(reply.rows[0].value);
+               for (const std::pair<const std::string, double>& it : paces) {
+                 UpstreamState* const upstream = directory_.Find(it.first);
+                 if (upstream != nullptr) LearnPace(*upstream, it.second);
+               }
+               done();
+             });
+}
+
 // ---- Placement --------------------------------------------------------------------------------------------
 
 void BatchService::Tick() {
@@ -183,6 +218,7 @@
     if (!job->frozen && !job->checkpoint_in_flight && now >= job->last_checkpoint + settings_.checkpoint_every) {
       job->last_checkpoint = now;
       Checkpoint(*job, false, [] {});
+      SharePaces(*job);
     }
   }
   Dispatch();
@@ -471,7 +507,7 @@
     choice.zone = settings_.zone;
     choice.avoided = it.upstream;
     choice.now = now;
-    const UpstreamState* const other = PickForItem(usable, choice);
+    UpstreamState* const other = PickForItem(usable, choice);
     if (other == nullptr || other->entry.id == it.upstream) continue;
     const UpstreamState* const upstream = directory_.Find(it.upstream);
     RunProgress progress;
@@ -481,7 +517,9 @@
     progress.gap_ms = upstream == nullptr ? usual : ExpectedGap(*upstream, usual, now);
     progress.other_gap_ms = ExpectedGap(*other, usual, now);
     if (!ShouldMoveRun(progress)) continue;
+    // Started there at once, so that the next run sees the slot taken.
     Requeue(job, it, absl::ZeroDuration(), "slow");
+    StartRun(job, it, *other);
     moved = true;
   }
   if (moved) Dispatch();
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -90,6 +90,8 @@
   void FetchObjects(const std::string& job, int count, std::string bytes,
                     std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done);
   void LoadPartials(Job& job);
+  void SharePaces(Job& job);
+  void LearnPaces(const std::string& service, std::function<void()> done);
   void ReadOnce(const std::shared_ptr<Reading>& reading);
 
   void Dispatch();
