--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -515,7 +515,9 @@
     progress.events_here = it.events_in_run;
     progress.events = it.events;
     progress.gap_ms = upstream == nullptr ? usual : ExpectedGap(*upstream, usual, now);
+    progress.pace_ms = upstream == nullptr ? 0 : upstream->pace_ms;
     progress.other_gap_ms = ExpectedGap(*other, usual, now);
+    progress.other_pace_ms = other->pace_ms;
     if (!ShouldMoveRun(progress)) continue;
     // Started there at once, so that the next run sees the slot taken.
     Requeue(job, it, absl::ZeroDuration(), "slow");
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -22,7 +22,7 @@
 constexpr double kRetryAfterSpread = 0.3;                         // seconds
 constexpr double kRetryShareOfTimeLeft = 0.3;                     // callers wait at most a third of it
 constexpr absl::Duration kGapMemory = absl::Milliseconds(400);    // neighbours slow an engine for half a second
-constexpr double kLoadCost = 0.2;                                 // of a full engine: each run slows the others a little
+constexpr double kLoadCost = 0.5;                                 // of a full engine; above the true cost, since paces are uncertain
 constexpr double kGroupShare = 0.1;                               // worth of an engine that has read the prompt
 constexpr double kOtherZoneCost = 0.03;                           // bytes between zones are few
 constexpr double kAvoidedCost = 0.5;                              // of the engine that just failed the item
@@ -138,8 +138,9 @@
   if (run.other_gap_ms <= 0) return false;
   if (run.since_last_event >= std::max(kSilenceFloor, absl::Milliseconds(run.other_gap_ms * kSilenceFactor))) return true;
   if (run.events_here < kEventsToJudge) return false;
-  const double gain = run.gap_ms / run.other_gap_ms;
-  return gain >= kSlowFactor || (run.events >= kLongRunEvents && gain >= kSlowFactorOfLongRun);
+  if (run.gap_ms >= kSlowFactor * run.other_gap_ms) return true;
+  const bool always_slower = run.other_pace_ms > 0 && run.pace_ms >= kSlowFactorOfLongRun * run.other_pace_ms;
+  return always_slower && run.events >= kLongRunEvents && run.gap_ms > run.other_gap_ms;
 }
 
 int MostLoadsAtOnce(int engines) { return std::max(1, static_cast<int>(std::lround(engines / 5.0))); }
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -63,7 +63,9 @@
   int events_here = 0;              // of this run
   std::int64_t events = 0;          // of the text
   double gap_ms = 0;                // of the upstream at this moment
+  double pace_ms = 0;               // of the upstream on the long average
   double other_gap_ms = 0;          // of the best other upstream with room; 0: none has room
+  double other_pace_ms = 0;         //
 };
 // True if a run should be broken off and continued elsewhere from its last event, which costs some ten
 // milliseconds. Load answered: a step's last items on engines that turn slow or silent for a moment, or that are
--- /dev/null
+++ b/tests/batch_service_test.cc
@@ -0,0 +1,456 @@
+#include "serving/batch_service.h"
+
+#include <gtest/gtest.h>
+
+#include "absl/strings/str_cat.h"
+#include "tests/serving_fakes.h"
+
+namespace oleander::serving {
+namespace {
+
+using fakes::EnginePort;
+using fakes::FakeEngine;
+using fakes::FakeEngines;
+using fakes::FakeLoop;
+using fakes::FakeStore;
+using fakes::StoreFault;
+using fakes::StorePort;
+using fakes::WholeText;
+
+constexpr char kJob[] = "job1";
+
+// One host with its own view; all share the store, the engines and the clock.
+struct TestHost {
+  TestHost(FakeLoop& the_loop, FakeStore& the_store, FakeEngines& the_engines, const std::string& name)
+      : loop(the_loop), engines(the_engines), store(the_store), link(the_loop, the_engines) {
+    directory.ApplyPolicy(fakes::MakePolicy());
+    engines.List(directory);
+    BatchSettings settings;
+    settings.incarnation = name;
+    settings.zone = "a";
+    batches = std::make_unique<BatchService>(loop, store, link, directory, settings);
+    Tick();
+  }
+  void Tick() {
+    if (dead) return;
+    if (!paused) batches->Tick();
+    loop.After(absl::Milliseconds(20), [this] { Tick(); });
+  }
+  void Kill() {
+    dead = true;
+    store.cut = true;
+    store.dead = true;
+    link.Kill();
+  }
+
+  FakeLoop& loop;
+  FakeEngines& engines;
+  StorePort store;
+  EnginePort link;
+  Directory directory;
+  std::unique_ptr<BatchService> batches;
+  bool dead = false;
+  bool paused = false;  // neither ticks nor, if the test cuts it, hears from the store
+};
+
+struct BatchServiceTest : testing::Test {
+  BatchServiceTest() {
+    for (const char* id : {"e1", "e2", "e3"}) {
+      FakeEngine& engine = engines.Add(id, "engines", "a", 4);
+      engine.weights["words"] = 5;
+    }
+  }
+  TestHost& AddHost(const std::string& name) {
+    hosts.push_back(std::make_unique<TestHost>(loop, store, engines, name));
+    return *hosts.back();
+  }
+  static BatchSubmission MakeJob(const std::string& id, int items, std::int64_t min_version = 5) {
+    BatchSubmission job;
+    job.id = id;
+    job.host = "train.example";
+    job.path = "/r/1";
+    job.model = "words";
+    job.min_version = min_version;
+    for (int it = 0; it < items; ++it) {
+      BatchItem item;
+      item.id = absl::StrCat("item", it);
+      item.target = absl::StrCat("/r/", it);
+      item.headers = {{"Model", "words"}};
+      item.body = std::string("\x00\xff body ", 8) + item.id;
+      item.group = absl::StrCat("g", it / 4);
+      job.items.push_back(item);
+    }
+    return job;
+  }
+  // The outcome, or nullopt while there is none.
+  std::shared_ptr<std::optional<BatchOutcome>> Submit(TestHost& host, BatchSubmission job) {
+    const std::shared_ptr<std::optional<BatchOutcome>> outcome = std::make_shared<std::optional<BatchOutcome>>();
+    host.batches->Submit(std::move(job), [outcome](BatchOutcome done) { *outcome = done; });
+    return outcome;
+  }
+  BatchOutcome SubmitNow(TestHost& host, BatchSubmission job) {
+    const std::shared_ptr<std::optional<BatchOutcome>> outcome = Submit(host, std::move(job));
+    loop.RunFor(absl::Milliseconds(20));
+    return outcome->value_or(BatchOutcome::kUnsure);
+  }
+  // Reads all results as a trainer does, from position 0.
+  std::pair<BatchOutcome, BatchPage> ReadNow(TestHost& host, const std::string& job, std::int64_t after = 0) {
+    std::pair<BatchOutcome, BatchPage> read = {BatchOutcome::kUnsure, {}};
+    host.batches->Read(job, after, absl::ZeroDuration(), [&read](BatchOutcome outcome, const BatchPage& page) {
+      read = {outcome, page};
+    });
+    loop.RunFor(absl::Milliseconds(1100));
+    return read;
+  }
+  void ExpectWhole(const BatchPage& page, int items) {
+    ASSERT_EQ(static_cast<int>(page.results.size()), items);
+    std::set<std::string> seen;
+    for (const ItemResult& it : page.results) {
+      EXPECT_EQ(it.state, ItemState::kCompleted) << it.item;
+      EXPECT_TRUE(seen.insert(it.item).second) << it.item << " is listed twice";
+      const int events = engines.lengths.contains(it.item) ? engines.lengths[it.item] : 10;
+      EXPECT_EQ(it.output, WholeText(it.item, events));
+    }
+  }
+  int RunsOf(const std::string& item) const {
+    int n = 0;
+    for (const fakes::RunRecord& it : engines.runs) n += it.request == item ? 1 : 0;
+    return n;
+  }
+
+  FakeLoop loop;
+  FakeStore store{loop};
+  FakeEngines engines{loop};
+  std::vector<std::unique_ptr<TestHost>> hosts;
+};
+
+// Guards against results that are lost, doubled or not whole on a day without faults.
+TEST_F(BatchServiceTest, ListsEachItemOnceWithItsWholeText) {
+  TestHost& host = AddHost("h1");
+  EXPECT_EQ(SubmitNow(host, MakeJob(kJob, 30)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(4));
+  const auto [outcome, page] = ReadNow(host, kJob);
+  EXPECT_EQ(outcome, BatchOutcome::kOk);
+  EXPECT_EQ(page.total, 30);
+  ExpectWhole(page, 30);
+  for (const ItemResult& it : page.results) EXPECT_EQ(it.versions, std::vector<std::int64_t>{5});
+}
+
+// Guards against a job that is accepted twice, or refused although it was accepted, when the store's answer is lost.
+TEST_F(BatchServiceTest, AcceptsAJobOnceWhenTheAnswerIsLost) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  int losses = 1;
+  first.store.commit_fault = [&losses](const Transaction&) {
+    return losses-- > 0 ? StoreFault::kLoseAnswer : StoreFault::kNone;
+  };
+  const std::shared_ptr<std::optional<BatchOutcome>> outcome = Submit(first, MakeJob(kJob, 8));
+  loop.RunFor(absl::Seconds(2));
+  EXPECT_EQ(outcome->value(), BatchOutcome::kAccepted);
+  EXPECT_EQ(SubmitNow(second, MakeJob(kJob, 8)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(1));
+  ReadNow(second, kJob);  // finds the lease that its owner does not know of
+  loop.RunFor(absl::Seconds(3));
+  ReadNow(second, kJob);
+  loop.RunFor(absl::Seconds(3));
+  ExpectWhole(ReadNow(second, kJob).second, 8);
+}
+
+// Guards against "not run" for a job that runs later.
+TEST_F(BatchServiceTest, ARefusedJobNeverRuns) {
+  TestHost& host = AddHost("h1");
+  ASSERT_EQ(SubmitNow(host, MakeJob("warm", 1)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(2));
+  engines.runs.clear();
+  host.store.commit_fault = [](const Transaction&) { return StoreFault::kRefuse; };
+  const std::shared_ptr<std::optional<BatchOutcome>> outcome = Submit(host, MakeJob(kJob, 8));
+  loop.RunFor(absl::Seconds(3));
+  EXPECT_EQ(outcome->value(), BatchOutcome::kNotRun);
+  host.store.commit_fault = nullptr;
+  loop.RunFor(absl::Seconds(5));
+  EXPECT_TRUE(engines.runs.empty());
+  EXPECT_EQ(ReadNow(host, kJob).first, BatchOutcome::kNotFound);
+}
+
+// Guards against the promise "not run" where the store may still carry out the write.
+TEST_F(BatchServiceTest, AJobWithoutAnAnswerIsNotCalledNotRun) {
+  TestHost& host = AddHost("h1");
+  ASSERT_EQ(SubmitNow(host, MakeJob("warm", 1)), BatchOutcome::kAccepted);
+  host.store.commit_fault = [](const Transaction&) { return StoreFault::kSilent; };
+  const std::shared_ptr<std::optional<BatchOutcome>> outcome = Submit(host, MakeJob(kJob, 8));
+  loop.RunFor(absl::Seconds(5));
+  EXPECT_EQ(outcome->value(), BatchOutcome::kOutcomeUnknown);
+}
+
+// Guards against a job that stops when its owner dies, and against positions that change with the owner.
+TEST_F(BatchServiceTest, AReaderTakesOverFromADeadOwner) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  for (int it = 0; it < 6; ++it) engines.lengths[absl::StrCat("item", it)] = 100;
+  ASSERT_EQ(SubmitNow(first, MakeJob(kJob, 20)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(1500));
+  const BatchPage before = ReadNow(second, kJob).second;
+  ASSERT_GT(before.results.size(), 0u);
+  first.Kill();
+  for (int it = 0; it < 12; ++it) ReadNow(second, kJob);
+  const BatchPage after = ReadNow(second, kJob).second;
+  ExpectWhole(after, 20);
+  for (std::size_t it = 0; it < before.results.size(); ++it) EXPECT_EQ(after.results[it].item, before.results[it].item);
+}
+
+// Guards against a paused owner that resumes after its lease and writes over its successor's results.
+TEST_F(BatchServiceTest, AThawedOwnerChangesNothing) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  for (int it = 0; it < 20; ++it) engines.lengths[absl::StrCat("item", it)] = 60;
+  ASSERT_EQ(SubmitNow(first, MakeJob(kJob, 20)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(500));
+  first.paused = true;
+  first.store.cut = true;
+  for (int it = 0; it < 4; ++it) ReadNow(second, kJob);
+  ASSERT_EQ(second.batches->owned_jobs(), 1);
+  first.paused = false;
+  first.store.cut = false;
+  loop.RunFor(absl::Seconds(2));
+  EXPECT_EQ(first.batches->owned_jobs(), 0);
+  loop.RunFor(absl::Seconds(15));
+  ExpectWhole(ReadNow(second, kJob).second, 20);
+}
+
+// Guards against results that are shown before they are durable: while the owner cannot write, nothing is listed.
+TEST_F(BatchServiceTest, ResultsWaitForTheStore) {
+  TestHost& host = AddHost("h1");
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 8)), BatchOutcome::kAccepted);
+  int refused = 0;
+  host.store.commit_fault = [&refused](const Transaction&) {
+    ++refused;
+    return StoreFault::kRefuse;
+  };
+  loop.RunFor(absl::Seconds(1));
+  EXPECT_TRUE(ReadNow(host, kJob).second.results.empty());
+  EXPECT_GT(refused, 0);
+  host.store.commit_fault = nullptr;
+  loop.RunFor(absl::Seconds(1));
+  ExpectWhole(ReadNow(host, kJob).second, 8);
+}
+
+// Guards against doubled positions when the answer to a write of results is lost.
+TEST_F(BatchServiceTest, LostAnswersDoNotDoubleResults) {
+  TestHost& host = AddHost("h1");
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 30)), BatchOutcome::kAccepted);
+  int n = 0;
+  host.store.commit_fault = [&n](const Transaction&) { return ++n % 2 == 0 ? StoreFault::kLoseAnswer : StoreFault::kNone; };
+  loop.RunFor(absl::Seconds(60));
+  host.store.commit_fault = nullptr;
+  loop.RunFor(absl::Seconds(2));
+  ExpectWhole(ReadNow(host, kJob).second, 30);
+}
+
+// Guards against items that start after the end of their job was acknowledged.
+TEST_F(BatchServiceTest, AnEndAtAnotherHostStopsTheOwner) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  for (int it = 0; it < 40; ++it) engines.lengths[absl::StrCat("item", it)] = 50;
+  ASSERT_EQ(SubmitNow(first, MakeJob(kJob, 40)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(300));
+  std::optional<BatchOutcome> ended;
+  second.batches->End(kJob, [&ended](BatchOutcome outcome) { ended = outcome; });
+  loop.RunFor(absl::Milliseconds(20));
+  ASSERT_EQ(ended.value(), BatchOutcome::kOk);
+  const absl::Time acknowledged = loop.Now();
+  loop.RunFor(absl::Seconds(10));
+  for (const fakes::RunRecord& it : engines.runs) EXPECT_LT(it.at, acknowledged + absl::Seconds(1));
+  EXPECT_EQ(first.batches->owned_jobs(), 0);
+  second.batches->End(kJob, [&ended](BatchOutcome outcome) { ended = outcome; });
+  loop.RunFor(absl::Milliseconds(20));
+  EXPECT_EQ(ended.value(), BatchOutcome::kOk);
+}
+
+// Guards against labels that name the version ordered instead of the one that generated, and against old tokens.
+TEST_F(BatchServiceTest, LabelsNameTheVersionsThatGeneratedTheEvents) {
+  TestHost& host = AddHost("h1");
+  engines.lengths["item0"] = 40;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 1)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(700));
+  for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.weights["words"] = 6;
+  loop.RunFor(absl::Seconds(3));
+  const BatchPage page = ReadNow(host, kJob).second;
+  ExpectWhole(page, 1);
+  EXPECT_EQ(page.results[0].versions, (std::vector<std::int64_t>{5, 6}));
+}
+
+TEST_F(BatchServiceTest, NoTokenIsOlderThanTheBound) {
+  TestHost& host = AddHost("h1");
+  // The list says 6; the engines still hold 5.
+  for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.weights["words"] = 6;
+  engines.List(host.directory);
+  for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.weights["words"] = 5;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 8, 6)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(2));
+  EXPECT_TRUE(ReadNow(host, kJob).second.results.empty());
+  for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.weights["words"] = 6;
+  engines.List(host.directory);
+  loop.RunFor(absl::Seconds(3));
+  const BatchPage page = ReadNow(host, kJob).second;
+  ExpectWhole(page, 8);
+  for (const ItemResult& it : page.results) EXPECT_EQ(it.versions, std::vector<std::int64_t>{6});
+}
+
+// Guards against an item that is given up before its attempts, or that is tried without end.
+TEST_F(BatchServiceTest, AnItemIsAbandonedAfterItsAttempts) {
+  TestHost& host = AddHost("h1");
+  engines.impossible.insert("item1");
+  for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.fail_next = 1000;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 2)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(10));
+  const BatchPage page = ReadNow(host, kJob).second;
+  ASSERT_EQ(page.results.size(), 2u);
+  for (const ItemResult& it : page.results) EXPECT_EQ(it.state, ItemState::kAbandoned);
+  EXPECT_EQ(RunsOf("item0"), 3);
+  EXPECT_EQ(RunsOf("item1"), 1);
+}
+
+// Guards against events that are missing or doubled when a stream is cut in the middle of one.
+TEST_F(BatchServiceTest, ACutStreamGoesOnAfterItsLastWholeEvent) {
+  TestHost& host = AddHost("h1");
+  engines.lengths["item0"] = 30;
+  for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.break_after_events = 7;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 1)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(5));
+  ExpectWhole(ReadNow(host, kJob).second, 1);
+  EXPECT_GT(RunsOf("item0"), 1);
+}
+
+// Guards against items that stay at an engine that has gone silent.
+TEST_F(BatchServiceTest, RunsLeaveASilentEngine) {
+  TestHost& host = AddHost("h1");
+  for (int it = 0; it < 6; ++it) engines.lengths[absl::StrCat("item", it)] = 60;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 6)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(600));
+  engines.engines["e1"].silent = true;
+  loop.RunFor(absl::Seconds(8));
+  ExpectWhole(ReadNow(host, kJob).second, 6);
+}
+
+// Replays a step whose last items run on engines that are slower than others at all times: they must move.
+TEST_F(BatchServiceTest, LongRunsLeaveAnEngineThatIsAlwaysSlower) {
+  engines.engines["e3"].gap = absl::Milliseconds(60);
+  TestHost& host = AddHost("h1");
+  for (int it = 0; it < 12; ++it) engines.lengths[absl::StrCat("item", it)] = it < 8 ? 10 : 120;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 12)), BatchOutcome::kAccepted);
+  // 120 events take 4.8 s on a fast engine and 7.2 s on the slow one.
+  loop.RunFor(absl::Milliseconds(6200));
+  ExpectWhole(ReadNow(host, kJob).second, 12);
+}
+
+// Guards against work that is thrown away by a graceful shutdown.
+TEST_F(BatchServiceTest, AShutdownHandsTheTextsOver) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  for (int it = 0; it < 4; ++it) engines.lengths[absl::StrCat("item", it)] = 80;
+  ASSERT_EQ(SubmitNow(first, MakeJob(kJob, 4)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(2));
+  bool handed_over = false;
+  first.batches->HandOver([&handed_over] { handed_over = true; });
+  loop.RunFor(absl::Milliseconds(100));
+  EXPECT_TRUE(handed_over);
+  EXPECT_EQ(first.batches->owned_jobs(), 0);
+  engines.runs.clear();
+  ReadNow(second, kJob);
+  loop.RunFor(absl::Seconds(3));
+  ExpectWhole(ReadNow(second, kJob).second, 4);
+  for (const fakes::RunRecord& it : engines.runs) EXPECT_GT(it.resume_after, 30);
+}
+
+// Guards against text of an earlier step under weights that the later step does not accept, and against
+// generating again what fits.
+TEST_F(BatchServiceTest, StoredTextIsUsedOnlyIfItsVersionsFit) {
+  TestHost& host = AddHost("h1");
+  engines.lengths["item0"] = 80;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 1)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(2));
+  std::optional<BatchOutcome> ended;
+  host.batches->End(kJob, [&ended](BatchOutcome outcome) { ended = outcome; });
+  loop.RunFor(absl::Milliseconds(100));
+  engines.runs.clear();
+  ASSERT_EQ(SubmitNow(host, MakeJob("fits", 1, 5)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(1000));
+  ASSERT_FALSE(engines.runs.empty());
+  EXPECT_GT(engines.runs[0].resume_after, 30);
+  host.batches->End("fits", [&ended](BatchOutcome outcome) { ended = outcome; });
+  loop.RunFor(absl::Milliseconds(100));
+  for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.weights["words"] = 6;
+  engines.List(host.directory);
+  engines.runs.clear();
+  ASSERT_EQ(SubmitNow(host, MakeJob("too_old", 1, 6)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(1));
+  ASSERT_FALSE(engines.runs.empty());
+  EXPECT_EQ(engines.runs[0].resume_after, 0);
+}
+
+// Guards against bodies that come back changed, and against "no such job" from a host that cannot know.
+TEST_F(BatchServiceTest, BodiesAndUnknownJobs) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  for (int it = 0; it < 4; ++it) engines.lengths[absl::StrCat("item", it)] = 200;
+  ASSERT_EQ(SubmitNow(first, MakeJob(kJob, 4)), BatchOutcome::kAccepted);
+  for (TestHost* host : {&first, &second}) {
+    std::string body;
+    host->batches->ItemBody(kJob, "item2", [&body](BatchOutcome, std::string bytes) { body = std::move(bytes); });
+    loop.RunFor(absl::Milliseconds(50));
+    EXPECT_EQ(body, std::string("\x00\xff body ", 8) + "item2");
+  }
+  EXPECT_EQ(ReadNow(second, "no-such-job").first, BatchOutcome::kNotFound);
+  second.store.cut = true;
+  std::optional<BatchOutcome> read;
+  second.batches->Read("no-such-job", 0, absl::ZeroDuration(), [&read](BatchOutcome outcome, const BatchPage&) { read = outcome; });
+  loop.RunFor(absl::Seconds(4));
+  EXPECT_EQ(read.value(), BatchOutcome::kUnsure);
+}
+
+// Guards against a job that is larger than one transaction of the store.
+TEST_F(BatchServiceTest, ALargeJobLiesInObjects) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  BatchSubmission job = MakeJob(kJob, 12);
+  for (BatchItem& it : job.items) it.body = std::string(800000, 'x');
+  ASSERT_EQ(SubmitNow(first, job), BatchOutcome::kAccepted);
+  EXPECT_GT(store.objects.size(), 1u);
+  std::string body;
+  second.batches->ItemBody(kJob, "item7", [&body](BatchOutcome, std::string bytes) { body = std::move(bytes); });
+  loop.RunFor(absl::Milliseconds(100));
+  EXPECT_EQ(body.size(), 800000u);
+}
+
+TEST_F(BatchServiceTest, RefusesWhatContradictsItself) {
+  TestHost& host = AddHost("h1");
+  BatchSubmission twice = MakeJob(kJob, 2);
+  twice.items[1].id = twice.items[0].id;
+  EXPECT_EQ(SubmitNow(host, twice), BatchOutcome::kInvalid);
+  EXPECT_EQ(SubmitNow(host, MakeJob(kJob, 0)), BatchOutcome::kInvalid);
+  BatchSubmission elsewhere = MakeJob(kJob, 2);
+  elsewhere.path = "/unknown/";
+  EXPECT_EQ(SubmitNow(host, elsewhere), BatchOutcome::kNoRoute);
+}
+
+// Guards against readers that miss results when one answer cannot hold them all.
+TEST_F(BatchServiceTest, PagesAreBoundedAndCoverAllResults) {
+  TestHost& host = AddHost("h1");
+  for (int it = 0; it < 12; ++it) engines.lengths[absl::StrCat("item", it)] = 20;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 12)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(3));
+  std::int64_t after = 0;
+  int n = 0;
+  while (n < 12) {
+    const auto [outcome, page] = ReadNow(host, kJob, after);
+    ASSERT_EQ(outcome, BatchOutcome::kOk);
+    ASSERT_EQ(page.next, after + static_cast<std::int64_t>(page.results.size()));
+    ASSERT_FALSE(page.results.empty());
+    n += static_cast<int>(page.results.size());
+    after = page.next;
+  }
+  EXPECT_EQ(n, 12);
+}
+
+}  // namespace
+}  // namespace oleander::serving
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,312 @@
+// Translation between the platform's wire and the core: records that cannot be read, the store's answers, and the
+// rule that no other folder knows the wire's names.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <regex>
+
+#include "absl/strings/escaping.h"
+#include "fuzz/mutate.h"
+#include "oleander/entry_settings.h"
+#include "platform/decode.h"
+#include "platform/engine_link.h"
+#include "platform/feed.h"
+#include "platform/store_client.h"
+#include "platform/wire.h"
+#include "serving/batch_records.h"
+#include "serving/event_stream.h"
+#include "tests/serving_fakes.h"
+
+namespace oleander::platform {
+namespace {
+
+using serving::RouteKind;
+
+constexpr char kPolicy[] = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","prefix":"/l/","routeKind":"idempotent","timeoutMs":1500,"targetLatencyMs":150,
+   "priority":2,"trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2},
+  {"name":"r2","host":"a.example","prefix":"/r/","routeKind":"rollout","timeoutMs":10000,"targetLatencyMs":500,
+   "service":"s2","maxAttempts":3,"keepS":40.0,"runAimMs":7500,"singleVersion":true,"canResume":true}],
+  "services":[{"name":"s1","maxConnections":96},{"name":"s2","maxConnections":150,
+   "engine":{"slots":12,"models":[{"name":"m1"},{"name":"m2"}]}}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+constexpr char kEntry[] = R"({"service":"s2","address":"10.1.2.3:80","zone":"z1","version":"v1","slots":12,
+  "state":"ready","warmupLeftMs":0,"stage":"combined","models":[{"name":"m1","version":4,"adapters":[]}],
+  "sequence":4,"born":1700000000000})";
+constexpr char kSubmission[] = R"({"step":7,"model":"m1","minVersion":6,"desiredCount":12,"items":[
+  {"id":"i1","path":"/r/1","headers":{"Model":"m1","Length-Hint":"900"},"body":"q83vEjRWeJA=","tokenCount":940,
+   "group":"g1"}]})";
+
+TEST(Decode, ReadsAPolicy) {
+  const std::optional<serving::Policy> policy = DecodePolicy(kPolicy);
+  ASSERT_TRUE(policy);
+  EXPECT_EQ(policy->version, 7);
+  ASSERT_EQ(policy->routes.size(), 2u);
+  EXPECT_EQ(policy->routes[0].kind, RouteKind::kIdempotent);
+  EXPECT_EQ(policy->routes[0].services.size(), 2u);
+  EXPECT_EQ(policy->routes[1].kind, RouteKind::kRollout);
+  EXPECT_EQ(policy->routes[1].keep, absl::Seconds(40));
+  EXPECT_TRUE(policy->routes[1].single_version);
+  EXPECT_EQ(policy->services[1].models, (std::vector<std::string>{"m1", "m2"}));
+  EXPECT_EQ(policy->limits.max_body_bytes, 1000000);
+}
+
+// Guards against a policy that is half applied: one that cannot be read as a whole leaves the last good one in force.
+TEST(Decode, RefusesAPolicyThatCannotBeReadAsAWhole) {
+  for (const char* text : {"", "null", "[]", "{", R"({"version":"x"})", R"({"version":3,"routes":[{"name":"r"}],"services":[]})"}) {
+    EXPECT_FALSE(DecodePolicy(text)) << text;
+  }
+}
+
+// Guards against use of registrations of another writer.
+TEST(Decode, EntriesOfAnotherWriterNameNoUpstream) {
+  ASSERT_TRUE(DecodeUpstream("i-1", kEntry));
+  EXPECT_EQ(DecodeUpstream("i-1", kEntry)->weights.at("m1"), 4);
+  EXPECT_EQ(DecodeUpstream("i-1", kEntry)->started_ms, 1700000000000);
+  EXPECT_FALSE(DecodeUpstream("", kEntry));
+  const Json good = Json::parse(kEntry);
+  for (const char* key : {"service", "address", "zone", "slots", "state"}) {
+    Json missing = good;
+    missing.erase(key);
+    EXPECT_FALSE(DecodeUpstream("i-1", missing.dump())) << key;
+    Json wrong = good;
+    wrong[key] = Json::array({1, 2});
+    EXPECT_FALSE(DecodeUpstream("i-1", wrong.dump())) << key;
+  }
+  Json wrong = good;
+  wrong["state"] = "resting";
+  EXPECT_FALSE(DecodeUpstream("i-1", wrong.dump()));
+  wrong = good;
+  wrong["born"] = 1.5;
+  EXPECT_FALSE(DecodeUpstream("i-1", wrong.dump()));
+  wrong = good;
+  wrong["address"] = "nowhere";
+  EXPECT_FALSE(DecodeUpstream("i-1", wrong.dump()));
+}
+
+TEST(Decode, ReadsASubmission) {
+  const std::optional<serving::BatchSubmission> job = DecodeSubmission(kSubmission);
+  ASSERT_TRUE(job);
+  EXPECT_EQ(job->min_version, 6);
+  ASSERT_EQ(job->items.size(), 1u);
+  EXPECT_EQ(job->items[0].body, absl::HexStringToBytes("abcdef1234567890"));
+  EXPECT_EQ(job->items[0].length_hint, 900);
+  for (const char* text : {"", "7", "{}", R"({"items":[{"id":"i"}]})", R"({"items":[{"id":"i","path":"/","body":"%%"}]})"}) {
+    EXPECT_FALSE(DecodeSubmission(text)) << text;
+  }
+}
+
+// Guards against a job that changes on its way through the store.
+TEST(Records, SubmissionsAndResultsSurviveTheStore) {
+  serving::BatchSubmission job = *DecodeSubmission(kSubmission);
+  job.id = "job";
+  job.host = "a.example";
+  job.path = "/r/x";
+  const std::optional<serving::BatchSubmission> back = serving::DecodeSubmission(serving::EncodeSubmission(job));
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->items[0].body, job.items[0].body);
+  EXPECT_EQ(back->items[0].headers.size(), job.items[0].headers.size());
+  EXPECT_EQ(back->min_version, 6);
+
+  serving::ItemResult result;
+  result.item = "i1";
+  result.output = std::string(150000, 'x');
+  result.versions = {6, 7};
+  const std::vector<serving::RowWrite> writes =
+      serving::SplitIntoRows("batch", "job", serving::ResultKey(12), serving::EncodeResult(result), 60000);
+  EXPECT_EQ(writes.size(), 3u);
+  std::vector<serving::Row> rows;
+  for (const serving::RowWrite& it : writes) {
+    EXPECT_LE(it.value.size(), 60000u);
+    rows.push_back({it.id, it.value, 1, false});
+  }
+  std::size_t at = 0;
+  const std::optional<std::string> joined = serving::JoinRows(rows, at);
+  ASSERT_TRUE(joined);
+  EXPECT_EQ(at, 3u);
+  EXPECT_EQ(serving::DecodeResult(*joined)->output, result.output);
+  rows.erase(rows.begin() + 1);
+  at = 0;
+  EXPECT_FALSE(serving::JoinRows(rows, at));
+  EXPECT_EQ(serving::ResultPosition("r00000012"), 12);
+  EXPECT_FALSE(serving::ResultPosition("r00000012/001"));
+}
+
+TEST(Wire, EscapesQueries) {
+  const std::string odd("a b/%\x00\xff&=+", 11);
+  EXPECT_EQ(UnescapeQuery(EscapeQuery(odd)), odd);
+  EXPECT_EQ(QueryValue("/x?a=1&after=12", "after"), "12");
+  EXPECT_EQ(QueryValue("/x", "after"), "");
+}
+
+TEST(StoreClient, ReadsRowsAndRefusesNonsense) {
+  serving::StoreReply reply;
+  ASSERT_TRUE(DecodeRows(R"({"rows":[{"table":"t","part":"p","key":"k","value":"bm9kZS0x","ver":412},
+                             {"table":"t","part":"p","key":"l","ver":413,"deleted":true}],
+                             "hasMore":true,"ver":530,"nowMs":51230})", reply));
+  EXPECT_EQ(reply.rows[0].value, "node-1");
+  EXPECT_TRUE(reply.rows[1].removed);
+  EXPECT_EQ(reply.version, 530);
+  EXPECT_EQ(reply.store_time, absl::Milliseconds(51230));
+  EXPECT_TRUE(reply.has_more);
+  for (const char* text : {"", "[]", R"({"rows":[{"table":1}]})", R"({"rows":[{"value":"%%%"}]})", R"({"ver":"x"})"}) {
+    serving::StoreReply none;
+    EXPECT_FALSE(DecodeRows(text, none)) << text;
+  }
+}
+
+TEST(EngineLink, ReadsHeadsAndReports) {
+  serving::HttpResponse head;
+  head.status = 503;
+  head.headers = {{"Not-Run", "1"}, {"Server-Load", "3,1,8,250"}, {"Request-Id", "x"}};
+  const serving::AnswerHead answer = DecodeHead(head);
+  EXPECT_TRUE(answer.not_run);
+  EXPECT_FALSE(answer.signed_answer);
+  EXPECT_FALSE(answer.framed);
+  ASSERT_TRUE(answer.load);
+  EXPECT_EQ(answer.load->waiting, 1);
+  EXPECT_DOUBLE_EQ(answer.load->slowdown, 2.5);
+  EXPECT_EQ(DecodeReport(R"({"models":[{"name":"m","version":3}],"busy":true,"sequence":2,"running":1})").orders_accepted, 2);
+  EXPECT_FALSE(DecodeReport(R"({"models":[{"name":"m"}],"sequence":2})").known);
+  EXPECT_FALSE(DecodeReport("no json").known);
+}
+
+// Guards against crashes on bytes that no writer of this project made.
+TEST(Decode, MutatedBytesNeverCrash) {
+  std::mt19937_64 random(20261204);
+  const std::vector<std::string> seeds = {kPolicy, kEntry, kSubmission};
+  for (int it = 0; it < 6000; ++it) {
+    const std::string text = Mutate(seeds[it % seeds.size()], random);
+    static_cast<void>(DecodePolicy(text));
+    static_cast<void>(DecodeUpstream("i", text));
+    static_cast<void>(DecodeSubmission(text));
+    static_cast<void>(DecodeNamedVersion(text));
+    static_cast<void>(DecodeReport(text));
+    serving::StoreReply reply;
+    static_cast<void>(DecodeRows(text, reply));
+    static_cast<void>(serving::DecodeLease(text));
+    static_cast<void>(serving::DecodeResult(text));
+    static_cast<void>(serving::DecodePartial(text));
+    static_cast<void>(serving::DecodeSubmission(text));
+    static_cast<void>(serving::DecodePaces(text));
+    serving::EventStreamReader reader;
+    serving::AddBytes(reader, text);
+    while (serving::NextEvent(reader)) {
+    }
+  }
+}
+
+TEST(EventStream, EventsComeOutWhateverTheCuts) {
+  const std::string text = "weight-versions: 6\nid: 4\ndata: one\ndata: two\n\n: comment\n\nid: 5\r\ndata: three\r\n\r\nid: 6\ndata: cut";
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    serving::EventStreamReader reader;
+    std::vector<serving::StreamEvent> events;
+    for (const std::string& part : {text.substr(0, cut), text.substr(cut)}) {
+      serving::AddBytes(reader, part);
+      while (const std::optional<serving::StreamEvent> event = serving::NextEvent(reader)) events.push_back(*event);
+    }
+    ASSERT_EQ(events.size(), 2u) << cut;
+    EXPECT_EQ(events[0].data, "one\ntwo");
+    EXPECT_EQ(events[0].weights, 6);
+    EXPECT_EQ(events[1].id, 5);
+    EXPECT_EQ(events[1].data, "three");
+    EXPECT_FALSE(reader.pending.empty() && !reader.has_fields);
+  }
+}
+
+// ---- Feed -------------------------------------------------------------------------------------------------
+
+struct FeedTest : testing::Test {
+  void Put(const std::string& table, const std::string& key, const std::string& value) {
+    serving::Transaction transaction;
+    transaction.writes = {{{table, "", key}, value}};
+    store.Apply(transaction);
+  }
+  void Drop(const std::string& table, const std::string& key) {
+    serving::Transaction transaction;
+    transaction.removals = {{table, "", key}};
+    store.Apply(transaction);
+  }
+  serving::fakes::FakeLoop loop;
+  serving::fakes::FakeStore store{loop};
+  serving::fakes::StorePort port{store};
+  serving::Directory directory;
+  Feed feed{loop, port, directory};
+};
+
+// The fake's feed only times out; whole reads follow each time-out, so that this also covers a lost history.
+TEST_F(FeedTest, FollowsPoliciesUpstreamsAndVersions) {
+  Put("op", "config", kPolicy);
+  Put("servers", "i-1", kEntry);
+  Put("servers", "i-2", "not readable");
+  feed.Start();
+  loop.RunFor(absl::Seconds(1));
+  EXPECT_TRUE(feed.complete());
+  EXPECT_EQ(directory.policy().version, 7);
+  EXPECT_EQ(directory.Usable("s2").size(), 1u);
+  Put("op", "config", "broken {");
+  Put("op", "version/m1", R"({"model":"m1","version":9})");
+  Drop("servers", "i-1");
+  loop.RunFor(absl::Seconds(2));
+  EXPECT_EQ(directory.policy().version, 7);
+  EXPECT_EQ(directory.named_versions().at("m1"), 9);
+  EXPECT_TRUE(directory.Usable("s2").empty());
+}
+
+// Guards against a host that loses all upstreams because their registrations lapsed while the store was away.
+TEST_F(FeedTest, RegistrationsThatLapsedWithTheStoreAreBelievedForAWhile) {
+  Put("op", "config", kPolicy);
+  Put("servers", "i-1", kEntry);
+  feed.Start();
+  loop.RunFor(absl::Seconds(1));
+  port.cut = true;
+  loop.RunFor(absl::Seconds(6));
+  Drop("servers", "i-1");
+  port.cut = false;
+  loop.RunFor(absl::Milliseconds(1900));
+  EXPECT_EQ(directory.Usable("s2").size(), 1u);
+  loop.RunFor(absl::Seconds(4));
+  directory.Expire(loop.Now());
+  EXPECT_TRUE(directory.Usable("s2").empty());
+}
+
+// ---- Settings and the boundary ----------------------------------------------------------------------------
+
+TEST(EntrySettings, NamesEachProblemWithItsPath) {
+  const std::string good = R"({"host":"h","zone":"z","listen":{"callers":"10.0.0.1:1","readiness":"10.0.0.1:2"},
+    "store":{"address":"10.0.0.2:3"},"shutdown_grace_s":8,"order_hand_over_ms":3000})";
+  Outcome<EntrySettings> settings = Capture<EntrySettings>([&good] { return ParseEntrySettings(good); });
+  ASSERT_TRUE(Ok(settings));
+  EXPECT_EQ(Value(settings).shutdown_grace, absl::Seconds(8));
+  const std::string bad = R"({"host":"","zone":"z","listen":{"callers":"nowhere","readiness":"10.0.0.1:2","extra":1},
+    "store":{"address":"10.0.0.2:3"},"shutdown_grace_s":-1,"order_hand_over_ms":3000,"log_level":"loud"})";
+  settings = Capture<EntrySettings>([&bad] { return ParseEntrySettings(bad); });
+  ASSERT_FALSE(Ok(settings));
+  for (const char* path : {"host", "listen.callers", "listen.extra", "shutdown_grace_s", "log_level"}) {
+    EXPECT_NE(ErrorOf(settings).detail.find(path), std::string::npos) << path;
+  }
+}
+
+// Guards against the platform's words outside platform/.
+TEST(Boundary, NoOtherFolderNamesTheWire) {
+  const std::regex words(
+      R"re("(expectedRev|warmupLeftMs|routeKind|runAimMs|targetLatencyMs|trafficSplit|kvUsed|nodeName)"|/api/(rows|blob|order|report|lots|items|readiness)|Server-Stamp|Expect-Instance|Request-Id|Not-Run)re");
+  int files = 0;
+  for (const char* folder : {"include", "src", "programs"}) {
+    for (const auto& it : std::filesystem::recursive_directory_iterator(std::filesystem::path(OLEANDER_SOURCE_DIR) / folder)) {
+      if (!it.is_regular_file()) continue;
+      std::ifstream file(it.path());
+      const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+      std::smatch match;
+      EXPECT_FALSE(std::regex_search(text, match, words)) << it.path() << ": " << match.str();
+      ++files;
+    }
+  }
+  EXPECT_GT(files, 50);
+}
+
+}  // namespace
+}  // namespace oleander::platform
--- /dev/null
+++ b/tests/serving_http_test.cc
@@ -0,0 +1,274 @@
+// The HTTP client and server of the serving core, over loopback sockets.
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "serving/event_loop.h"
+#include "serving/http_client.h"
+#include "serving/http_server.h"
+
+namespace oleander::serving {
+namespace {
+
+using tcp = asio::ip::tcp;
+
+constexpr absl::Duration kLongestTest = absl::Seconds(20);  // ends a test that hangs; no verdict depends on it
+
+// Serves raw bytes: `script` gets each accepted connection on a thread of its own.
+struct RawServer {
+  explicit RawServer(std::function<void(tcp::socket&)> script)
+      : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}), thread([this, script] {
+          while (true) {
+            tcp::socket socket(context);
+            boost::system::error_code ec;
+            acceptor.accept(socket, ec);
+            if (ec || stopped) return;
+            ++accepted;
+            script(socket);
+          }
+        }) {}
+  ~RawServer() {
+    stopped = true;
+    boost::system::error_code ignored;
+    tcp::socket wake(context);
+    wake.connect(acceptor.local_endpoint(), ignored);
+    thread.join();
+  }
+  std::string address() const { return absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port()); }
+
+  asio::io_context context;
+  std::atomic<bool> stopped{false};
+  std::atomic<int> accepted{0};
+  tcp::acceptor acceptor;
+  std::thread thread;
+};
+
+std::string ReadHead(tcp::socket& socket) {
+  std::string text;
+  boost::system::error_code ignored;
+  asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", ignored);
+  return text;
+}
+void WriteText(tcp::socket& socket, const std::string& text) {
+  boost::system::error_code ignored;
+  asio::write(socket, asio::buffer(text), ignored);
+}
+
+struct Result {
+  int status = 0;
+  std::string body;
+  std::vector<std::string> pieces;
+  std::optional<CallEnd> end;
+};
+
+struct ServingHttpTest : testing::Test {
+  ServingHttpTest() {
+    loop.After(kLongestTest, [this] { loop.Stop(); });
+  }
+  std::shared_ptr<Result> Call(const std::string& address, std::string body = "", absl::Duration timeout = absl::Seconds(10),
+                               bool stop = true) {
+    const std::shared_ptr<Result> result = std::make_shared<Result>();
+    HttpCall call;
+    call.address = address;
+    call.request = {"POST", "/x", {{"Host", "h"}}, std::move(body)};
+    call.timeout = timeout;
+    HttpCallHandlers handlers;
+    handlers.on_head = [result](const HttpResponse& head) { result->status = head.status; };
+    handlers.on_body = [this, result](std::string_view piece) {
+      result->pieces.emplace_back(piece);
+      result->body.append(piece);
+      if (on_piece) on_piece();
+    };
+    handlers.on_end = [this, result, stop](CallEnd end) {
+      result->end = end;
+      if (stop) loop.Stop();
+    };
+    client.Start(std::move(call), std::move(handlers));
+    return result;
+  }
+  void Run() {
+    loop.context().restart();
+    loop.Run();
+  }
+  EventLoop loop;
+  HttpClient client{loop, {}};
+  std::function<void()> on_piece;
+};
+
+// Guards against events that are held back until the answer ends: a chunk is delivered before the head of the
+// next one has come.
+TEST_F(ServingHttpTest, AChunkIsDeliveredAsItComes) {
+  std::atomic<bool> seen{false};
+  RawServer server([&seen](tcp::socket& socket) {
+    ReadHead(socket);
+    WriteText(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n");
+    while (!seen) std::this_thread::yield();
+    WriteText(socket, "6\r\nsecond\r\n0\r\n\r\n");
+  });
+  on_piece = [&seen] { seen = true; };
+  loop.After(kLongestTest / 2, [&seen] { seen = true; });
+  const std::shared_ptr<Result> result = Call(server.address());
+  Run();
+  EXPECT_EQ(result->end, CallEnd::kComplete);
+  ASSERT_GE(result->pieces.size(), 2u);
+  EXPECT_EQ(result->pieces[0], "first");
+  EXPECT_EQ(result->body, "firstsecond");
+}
+
+// Guards against truncated answers that look complete.
+TEST_F(ServingHttpTest, ATruncatedAnswerIsBroken) {
+  for (const char* answer : {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfir",
+                             "HTTP/1.1 200 O", "nonsense\r\n\r\n", ""}) {
+    RawServer server([answer](tcp::socket& socket) {
+      ReadHead(socket);
+      WriteText(socket, answer);
+    });
+    const std::shared_ptr<Result> result = Call(server.address());
+    Run();
+    EXPECT_EQ(result->end, CallEnd::kBroken) << answer;
+  }
+}
+
+// Guards against bytes behind an answer that are taken for the next one.
+TEST_F(ServingHttpTest, AConnectionWithExtraBytesIsNotReused) {
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    WriteText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil");
+  });
+  for (int it = 0; it < 2; ++it) {
+    const std::shared_ptr<Result> result = Call(server.address());
+    Run();
+    EXPECT_EQ(result->body, "ok");
+  }
+  EXPECT_EQ(server.accepted, 2);
+}
+
+// Guards against other bytes where the rest of a body is due: an early answer ends the use of its connection.
+TEST_F(ServingHttpTest, AnEarlyAnswerEndsTheConnection) {
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    WriteText(socket, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
+  });
+  const std::shared_ptr<Result> first = Call(server.address(), std::string(32 << 20, 'x'));
+  Run();
+  EXPECT_EQ(first->status, 413);
+  const std::shared_ptr<Result> second = Call(server.address());
+  Run();
+  EXPECT_EQ(second->status, 413);
+  EXPECT_EQ(server.accepted, 2);
+}
+
+TEST_F(ServingHttpTest, ASilentUpstreamTimesOutAndAClosedPortWasNotSentTo) {
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    ReadHead(socket);
+  });
+  const std::shared_ptr<Result> silent = Call(server.address(), "", absl::Milliseconds(100));
+  Run();
+  EXPECT_EQ(silent->end, CallEnd::kTimedOut);
+  const std::shared_ptr<Result> refused = Call("127.0.0.1:1");
+  Run();
+  EXPECT_EQ(refused->end, CallEnd::kNotSent);
+  const std::shared_ptr<Result> nowhere = Call("no address");
+  Run();
+  EXPECT_EQ(nowhere->end, CallEnd::kNotSent);
+}
+
+TEST_F(ServingHttpTest, ConnectionsAreKept) {
+  HttpServer* running = nullptr;
+  HttpServer server(loop, [&running](ExchangeId id, HttpRequest request) {
+    running->Respond(id, {200, "", {{"X", "y"}}, request.body});
+  });
+  running = &server;
+  ASSERT_TRUE(server.Listen("127.0.0.1:21871"));
+  for (int it = 0; it < 3; ++it) {
+    const std::shared_ptr<Result> result = Call("127.0.0.1:21871", absl::StrCat("body", it));
+    Run();
+    EXPECT_EQ(result->body, absl::StrCat("body", it));
+  }
+  EXPECT_EQ(client.counts().connections, 1);
+}
+
+// Guards against requests over the limits that are read or passed on.
+TEST_F(ServingHttpTest, TheServerRefusesWhatIsTooLargeOrMalformed) {
+  int handled = 0;
+  HttpServer server(loop, [&handled](ExchangeId, HttpRequest) { ++handled; });
+  CallerLimits limits;
+  limits.max_header_bytes = 1000;
+  limits.max_body_bytes = 1000;
+  server.SetLimits(limits);
+  ASSERT_TRUE(server.Listen("127.0.0.1:21872"));
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n", "413"},
+      {absl::StrCat("GET / HTTP/1.1\r\nHost: h\r\nX: ", std::string(3000, 'x'), "\r\n\r\n"), "431"},
+      {"GET / HTTP/1.1\r\nBroken header\r\n\r\n", "400"},
+      {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+  };
+  std::vector<std::string> answers(cases.size());
+  std::thread callers([this, &cases, &answers] {
+    for (std::size_t it = 0; it < cases.size(); ++it) {
+      asio::io_context context;
+      tcp::socket socket(context);
+      boost::system::error_code ec;
+      socket.connect({asio::ip::make_address("127.0.0.1"), 21872}, ec);
+      WriteText(socket, cases[it].first);
+      answers[it] = ReadHead(socket);
+    }
+    loop.Stop();
+  });
+  Run();
+  callers.join();
+  for (std::size_t it = 0; it < cases.size(); ++it) {
+    EXPECT_NE(answers[it].find(absl::StrCat("HTTP/1.1 ", cases[it].second)), std::string::npos) << cases[it].first << answers[it];
+  }
+  EXPECT_EQ(handled, 0);
+}
+
+// Guards against work that goes on for a caller that has closed its connection.
+TEST_F(ServingHttpTest, ACallerThatLeavesIsNoticed) {
+  HttpServer* running = nullptr;
+  bool left = false;
+  HttpServer server(loop, [this, &running, &left](ExchangeId id, HttpRequest) {
+    running->OnCallerLeft(id, [this, &left] {
+      left = true;
+      loop.Stop();
+    });
+  });
+  running = &server;
+  ASSERT_TRUE(server.Listen("127.0.0.1:21873"));
+  std::thread caller([] {
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code ec;
+    socket.connect({asio::ip::make_address("127.0.0.1"), 21873}, ec);
+    WriteText(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  });
+  Run();
+  caller.join();
+  EXPECT_TRUE(left);
+  EXPECT_EQ(server.open_exchanges(), 0);
+}
+
+// Guards against a shutdown that cuts an answer off.
+TEST_F(ServingHttpTest, AnOpenExchangeOutlivesTheListener) {
+  HttpServer* running = nullptr;
+  HttpServer server(loop, [this, &running](ExchangeId id, HttpRequest) {
+    running->CloseAfterAnswers();
+    running->StopAccepting();
+    loop.After(absl::Milliseconds(50), [&running, id] { running->Respond(id, {200, "", {}, "late"}); });
+  });
+  running = &server;
+  ASSERT_TRUE(server.Listen("127.0.0.1:21874"));
+  const std::shared_ptr<Result> result = Call("127.0.0.1:21874");
+  Run();
+  EXPECT_EQ(result->body, "late");
+  EXPECT_EQ(result->end, CallEnd::kComplete);
+}
+
+}  // namespace
+}  // namespace oleander::serving
