Let owners keep their jobs over an outage; take over from dead owners sooner

Change: a host takes over only after 1.5 s of answered reads; leases are 1.2 s instead of 2 s, renewed every 0.3 s. Ruled out: the owner's own retry is late by a silent call's time-out of 1.2 s, so it cannot win the race by retrying. Result: OwnersKeepTheirJobsOverAnOutage fails before (16 runs for 8 items) and passes after.

--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -328,6 +328,7 @@
   store_.Get(range, [this, reading](const StoreReply& reply) {
     NoteStoreTime(reply);
     if (reply.outcome != StoreOutcome::kOk) {
+      read_failed_at_ = loop_.Now();
       if (loop_.Now() >= reading->give_up) {
         reading->done(BatchOutcome::kUnsure, {});
       } else {
@@ -381,7 +382,9 @@
       return;
     }
     page.total = lease->total;
-    if (!ended && !lease->finished && reply.store_time > lease->valid_until + kTakeOverMargin) {
+    // After an outage of the store all leases have run out; their owners get the time to renew them first.
+    const bool calm = loop_.Now() - read_failed_at_ >= settings_.calm_store;
+    if (!ended && !lease->finished && calm && reply.store_time > lease->valid_until + kTakeOverMargin) {
       TakeOver(reading->job, *lease, lease_version);
     }
     const bool nothing_to_come = ended || (lease->finished && page.next >= lease->listed);
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -34,7 +34,8 @@
 struct BatchSettings {
   std::string incarnation;                                         // of this host; differs after each start
   std::string zone;                                                //
-  absl::Duration lease = absl::Seconds(2);                         // without renewal, another host takes over
+  absl::Duration lease = absl::Milliseconds(1200);                 // without renewal, another host takes over
+  absl::Duration calm_store = absl::Milliseconds(1500);            // of answered reads, before a host takes over
   absl::Duration renew_every = absl::Milliseconds(300);            // also bounds how late an end is noticed
   absl::Duration commit_every = absl::Milliseconds(40);            // results gather for so long
   absl::Duration checkpoint_every = absl::Milliseconds(1000);      // texts of running items
@@ -129,6 +130,7 @@
   std::uint64_t next_run_ = 1;
   absl::Duration store_offset_;  // time of the store less time of this host
   bool store_time_known_ = false;
+  absl::Time read_failed_at_ = absl::InfinitePast();  // last read of the store without an answer
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::set<std::string> taking_over_;
 };
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -198,6 +198,25 @@
   for (std::size_t it = 0; it < before.results.size(); ++it) EXPECT_EQ(after.results[it].item, before.results[it].item);
 }
 
+// Replays an outage of the store for all hosts: when it returns, a reader must not take the job from its living
+// owner, whose runs have gone on.
+TEST_F(BatchServiceTest, OwnersKeepTheirJobsOverAnOutage) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  for (int it = 0; it < 8; ++it) engines.lengths[absl::StrCat("item", it)] = 300;
+  ASSERT_EQ(SubmitNow(first, MakeJob(kJob, 8)), BatchOutcome::kAccepted);
+  ReadNow(second, kJob);
+  first.store.cut = second.store.cut = true;
+  for (int it = 0; it < 4; ++it) ReadNow(second, kJob);
+  first.store.cut = second.store.cut = false;
+  for (int it = 0; it < 4; ++it) ReadNow(second, kJob);
+  EXPECT_EQ(first.batches->owned_jobs() + second.batches->owned_jobs(), 1);
+  EXPECT_EQ(first.batches->owned_jobs(), 1);
+  loop.RunFor(absl::Seconds(8));
+  ExpectWhole(ReadNow(second, kJob).second, 8);
+  EXPECT_EQ(engines.runs.size(), 8u);
+}
+
 // Guards against a paused owner that resumes after its lease and writes over its successor's results.
 TEST_F(BatchServiceTest, AThawedOwnerChangesNothing) {
   TestHost& first = AddHost("h1");
