--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -72,8 +72,9 @@
 void LogEventLine(LogLevel level, LogEvent event, const Json& fields);
 // Names the host in all later lines; level is "info", "warning" or "error".
 void StartLogging(const HostId& host, std::string_view level);
-// As StartLogging, but writes to standard output without ever blocking: a reader that stops reading costs lines,
-// and each kind of event is held to a number of lines a second. What was left out is counted and logged.
+// As StartLogging, but writes to standard output without ever blocking: a reader that stops reading costs
+// lines, and each kind of event is held to a number of lines a second. What was left out is counted and
+// logged.
 void StartBoundedLogging(const HostId& host, std::string_view level);
 
 }  // namespace oleander
--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -34,7 +34,8 @@
 class Loop {
  public:
   virtual ~Loop() = default;
-  // Time since boot. Counts the time in which the machine is suspended, so that a lease is not extended by it.
+  // Time since boot. Counts the time in which the machine is suspended, so that a lease is not extended by
+  // it.
   virtual absl::Time Now() const = 0;
   virtual TimerId After(absl::Duration delay, std::function<void()> fn) = 0;
   virtual void Cancel(TimerId id) = 0;
@@ -51,7 +52,8 @@
 // The value of the first field with this name, or "".
 std::string_view FindHeader(const Headers& headers, std::string_view name);
 void RemoveHeader(Headers& headers, std::string_view name);
-// True for fields that concern one connection only (RFC 9110, 7.6.1), and for the length, which the sender sets.
+// True for fields that concern one connection only (RFC 9110, 7.6.1), and for the length, which the sender
+// sets.
 bool IsConnectionHeader(std::string_view name);
 
 struct HttpRequest {
@@ -112,10 +114,10 @@
 };
 struct StoreReply {
   StoreOutcome outcome = StoreOutcome::kUnknown;  //
-  std::vector<Row> rows;          // read or changed rows; on kConflict the rows of the conditions as they are
-  std::int64_t version = 0;       // newest version of the store
-  absl::Duration store_time;      // steady clock of the store
-  bool has_more = false;          // a range has further rows
+  std::vector<Row> rows;      // read or changed rows; on kConflict the rows of the conditions as they are
+  std::int64_t version = 0;   // newest version of the store
+  absl::Duration store_time;  // steady clock of the store
+  bool has_more = false;      // a range has further rows
 };
 using StoreCallback = std::function<void(const StoreReply&)>;
 
@@ -125,7 +127,8 @@
   virtual void Get(const RowRange& range, StoreCallback done) = 0;
   virtual void Commit(const Transaction& transaction, StoreCallback done) = 0;
   // Answers as soon as a row of `table` has a version above `after`, or after `wait` without rows.
-  virtual void Watch(const std::string& table, std::int64_t after, absl::Duration wait, StoreCallback done) = 0;
+  virtual void Watch(const std::string& table, std::int64_t after, absl::Duration wait,
+                     StoreCallback done) = 0;
   // Writes an object once: kConflict if it exists.
   virtual void PutObject(const std::string& name, std::string bytes, StoreCallback done) = 0;
   // The bytes are the value of the only row; no row: no such object.
@@ -142,19 +145,19 @@
   double weight = 1;    // share of the requests, relative to the others
 };
 struct Route {
-  std::string name;                       //
-  std::string host;                       // value of the Host header
-  std::string prefix;                     // begins and ends with a slash
-  RouteKind kind = RouteKind::kIdempotent;  //
-  absl::Duration timeout = absl::Seconds(10);    // longest time that a caller is kept waiting
-  absl::Duration objective = absl::Seconds(1);   // an answer within it has its full worth
-  int max_attempts = 1;                   // upstreams that may run one request
-  int priority = 0;                       // 0 is the highest
-  std::vector<WeightedService> services;  //
-  bool resumable = false;                 // streams may be continued at another upstream
-  absl::Duration step_objective;          // rollout: all results are due this long after submission
-  absl::Duration keep = absl::Seconds(40);  // rollout: an item may be given up this long after submission
-  bool single_version = false;            // rollout: one weight version for each sample
+  std::string name;                             //
+  std::string host;                             // value of the Host header
+  std::string prefix;                           // begins and ends with a slash
+  RouteKind kind = RouteKind::kIdempotent;      //
+  absl::Duration timeout = absl::Seconds(10);   // longest time that a caller is kept waiting
+  absl::Duration objective = absl::Seconds(1);  // an answer within it has its full worth
+  int max_attempts = 1;                         // upstreams that may run one request
+  int priority = 0;                             // 0 is the highest
+  std::vector<WeightedService> services;        //
+  bool resumable = false;                       // streams may be continued at another upstream
+  absl::Duration step_objective;                // rollout: all results are due this long after submission
+  absl::Duration keep = absl::Seconds(40);      // rollout: an item may be given up this long after submission
+  bool single_version = false;                  // rollout: one weight version for each sample
 };
 struct ServiceSpec {
   std::string name;                 //
@@ -162,25 +165,25 @@
   std::vector<std::string> models;  // empty: not a model engine
 };
 struct CallerLimits {
-  std::int64_t max_header_bytes = 16384;                   //
-  std::int64_t max_body_bytes = 32 << 20;                  //
-  absl::Duration header_timeout = absl::Seconds(3);        // from the first byte to the end of the head
-  absl::Duration idle_timeout = absl::Seconds(15);         // a kept connection without a request
+  std::int64_t max_header_bytes = 16384;             //
+  std::int64_t max_body_bytes = 32 << 20;            //
+  absl::Duration header_timeout = absl::Seconds(3);  // from the first byte to the end of the head
+  absl::Duration idle_timeout = absl::Seconds(15);   // a kept connection without a request
 };
 struct Policy {
-  std::int64_t version = 0;            // 0: none is known yet
-  std::vector<Route> routes;           //
-  std::vector<ServiceSpec> services;   //
-  CallerLimits limits;                 //
+  std::int64_t version = 0;           // 0: none is known yet
+  std::vector<Route> routes;          //
+  std::vector<ServiceSpec> services;  //
+  CallerLimits limits;                //
 };
 struct UpstreamEntry {
-  std::string id;                              // names one incarnation, together with `started_ms`
-  std::string service;                         //
-  std::string address;                         // "ip:port"
-  std::string zone;                            //
-  int slots = 1;                               // requests it runs at once
-  bool draining = false;                       //
-  std::int64_t started_ms = 0;                 // time of its start
+  std::string id;                               // names one incarnation, together with `started_ms`
+  std::string service;                          //
+  std::string address;                          // "ip:port"
+  std::string zone;                             //
+  int slots = 1;                                // requests it runs at once
+  bool draining = false;                        //
+  std::int64_t started_ms = 0;                  // time of its start
   std::map<std::string, std::int64_t> weights;  // version by model
 };
 
@@ -189,50 +192,50 @@
 using CallId = std::uint64_t;
 
 struct ReportedLoad {
-  int running = 0;          //
-  int waiting = 0;          //
-  int slots = 0;            //
-  double slowdown = 1;      // how long work takes there at this moment; 1 is usual
+  int running = 0;      //
+  int waiting = 0;      //
+  int slots = 0;        //
+  double slowdown = 1;  // how long work takes there at this moment; 1 is usual
 };
 // The head of an upstream's answer.
 struct AnswerHead {
-  int status = 0;                          //
-  Headers headers;                         // as sent, for the caller
-  std::string reason;                      //
-  std::string request_id;                  // echoed; empty if absent
-  bool not_run = false;                    // the upstream states that it did not run the request
-  bool signed_answer = false;              // has the upstream's signature
-  bool framed = true;                      // false: the answer ends with its connection
-  std::optional<std::int64_t> weights;     // version of the weights that run it
-  std::optional<ReportedLoad> load;        //
+  int status = 0;                       //
+  Headers headers;                      // as sent, for the caller
+  std::string reason;                   //
+  std::string request_id;               // echoed; empty if absent
+  bool not_run = false;                 // the upstream states that it did not run the request
+  bool signed_answer = false;           // has the upstream's signature
+  bool framed = true;                   // false: the answer ends with its connection
+  std::optional<std::int64_t> weights;  // version of the weights that run it
+  std::optional<ReportedLoad> load;     //
 };
 enum class CallEnd {
-  kComplete,       // the whole answer is here
-  kNotSent,        // no byte of the request left this host
-  kBroken,         // the connection ended or the answer was not in the protocol; it may have run
-  kTimedOut,       // it may have run
+  kComplete,  // the whole answer is here
+  kNotSent,   // no byte of the request left this host
+  kBroken,    // the connection ended or the answer was not in the protocol; it may have run
+  kTimedOut,  // it may have run
 };
 std::string_view NameOf(CallEnd end);
 
 struct UpstreamCall {
-  std::string address;                   //
-  std::string expected_id;               // another upstream at this address must not run it; empty: any
-  std::string host;                      // value of the Host header; empty: as in `headers`
-  std::string request_id;                //
-  std::string method;                    //
-  std::string target;                    //
-  Headers headers;                       // without those that the call sets
-  std::string body;                      //
-  std::optional<absl::Duration> deadline;  // time left to the caller
+  std::string address;                       //
+  std::string expected_id;                   // another upstream at this address must not run it; empty: any
+  std::string host;                          // value of the Host header; empty: as in `headers`
+  std::string request_id;                    //
+  std::string method;                        //
+  std::string target;                        //
+  Headers headers;                           // without those that the call sets
+  std::string body;                          //
+  std::optional<absl::Duration> deadline;    // time left to the caller
   std::optional<std::int64_t> resume_after;  // last event that is already here
-  absl::Duration timeout = absl::InfiniteDuration();       // for the whole call
+  absl::Duration timeout = absl::InfiniteDuration();          // for the whole call
   absl::Duration silence_timeout = absl::InfiniteDuration();  // without a byte from the upstream
-  bool fresh_connection = false;         // do not reuse one: the request must not be sent twice
+  bool fresh_connection = false;  // do not reuse one: the request must not be sent twice
 };
 struct CallHandlers {
-  std::function<void(const AnswerHead&)> on_head;       //
-  std::function<void(std::string_view)> on_body;        // pieces, in order
-  std::function<void(CallEnd)> on_end;                  // exactly once, unless cancelled
+  std::function<void(const AnswerHead&)> on_head;  //
+  std::function<void(std::string_view)> on_body;   // pieces, in order
+  std::function<void(CallEnd)> on_end;             // exactly once, unless cancelled
 };
 
 // State that an engine tells about itself; some hundred ms old.
@@ -244,11 +247,11 @@
   std::map<std::string, std::int64_t> weights;  // version by model
 };
 struct WeightsOrder {
-  std::string model;                  //
-  std::int64_t version = 0;           //
-  std::string holder;                 //
-  std::int64_t fence = 0;             // grows with each holder
-  std::int64_t orders_accepted = 0;   // refused by the engine unless it has accepted just so many
+  std::string model;                 //
+  std::int64_t version = 0;          //
+  std::string holder;                //
+  std::int64_t fence = 0;            // grows with each holder
+  std::int64_t orders_accepted = 0;  // refused by the engine unless it has accepted just so many
 };
 enum class OrderOutcome {
   kAccepted,      // the engine is loading
@@ -293,19 +296,19 @@
 };
 enum class ItemState { kCompleted, kAbandoned };
 struct ItemResult {
-  std::string item;                    //
+  std::string item;                         //
   ItemState state = ItemState::kCompleted;  //
-  std::string output;                  // data of all events, separated by line feeds
-  std::vector<std::int64_t> versions;  // that produced an event of it, ascending
+  std::string output;                       // data of all events, separated by line feeds
+  std::vector<std::int64_t> versions;       // that produced an event of it, ascending
 };
 enum class BatchOutcome {
   kOk,
   kAccepted,
-  kNotFound,       // no such job or item
-  kNoRoute,        //
-  kInvalid,        // the submission contradicts itself
-  kNotRun,         // refused; no part of it runs
-  kUnsure,         // this host cannot tell at the moment; a read may be repeated elsewhere
+  kNotFound,        // no such job or item
+  kNoRoute,         //
+  kInvalid,         // the submission contradicts itself
+  kNotRun,          // refused; no part of it runs
+  kUnsure,          // this host cannot tell at the moment; a read may be repeated elsewhere
   kOutcomeUnknown,  // it may have been accepted
 };
 std::string_view NameOf(BatchOutcome outcome);
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -116,7 +116,8 @@
     if (pending_.size() > kMaxPendingBytes) {
       // Whole lines only, so that the reader's lines stay readable.
       const std::size_t cut = pending_.find('\n', pending_.size() - kMaxPendingBytes);
-      pending_.erase(partial_ ? pending_.find('\n') + 1 : 0, cut + 1 - (partial_ ? pending_.find('\n') + 1 : 0));
+      pending_.erase(partial_ ? pending_.find('\n') + 1 : 0,
+                     cut + 1 - (partial_ ? pending_.find('\n') + 1 : 0));
     }
     flush_();
   }
--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -15,12 +15,13 @@
 
 namespace oleander::serving {
 
-inline constexpr std::size_t kMaxRowsInCommit = 95;  // the store takes 100; the lease and a split result need some
+inline constexpr std::size_t kMaxRowsInCommit =
+    95;  // the store takes 100; the lease and a split result need some
 
 struct BatchService::Item {
   BatchItem spec;
   std::size_t index = 0;
-  std::size_t rank = 0;                  // place in the order of starting
+  std::size_t rank = 0;  // place in the order of starting
   Phase phase = Phase::kWaiting;
   // Text so far, kept over runs.
   std::string output;
@@ -29,9 +30,9 @@
   std::set<std::int64_t> versions;
   std::int64_t checkpointed_events = 0;
   bool has_partial_row = false;
-  int failures = 0;                      // answers that say that the attempt failed
+  int failures = 0;  // answers that say that the attempt failed
   absl::Time not_before = absl::InfinitePast();
-  std::string avoided;                   // upstream of the last failure
+  std::string avoided;  // upstream of the last failure
   // Of the run in progress.
   std::uint64_t run = 0;
   CallId call = 0;
@@ -42,26 +43,26 @@
   absl::Time last_progress;
   int events_in_run = 0;
   AnswerHead head;
-  std::int64_t version = 0;              // of the weights at this moment
+  std::int64_t version = 0;  // of the weights at this moment
   EventStreamReader reader;
-  int unframed_ends = 0;                 // answers without a length that ended in good order
+  int unframed_ends = 0;  // answers without a length that ended in good order
 };
 
 struct BatchService::Job {
   BatchSubmission submission;
-  BatchLease lease;                      // as last written
+  BatchLease lease;  // as last written
   std::int64_t lease_version = 0;
   std::vector<Item> items;
-  std::vector<std::size_t> order;        // item by rank
-  std::set<std::size_t> waiting;         // ranks
+  std::vector<std::size_t> order;  // item by rank
+  std::set<std::size_t> waiting;   // ranks
   int running = 0;
-  std::int64_t unlisted = 0;             // items without a result
-  bool ready = false;                    // stored texts have been looked for
-  bool frozen = false;                   // nothing new is started
+  std::int64_t unlisted = 0;  // items without a result
+  bool ready = false;         // stored texts have been looked for
+  bool frozen = false;        // nothing new is started
   bool handing_over = false;
   std::map<std::string, std::string> group_upstream;  // that has read the group's prompt
-  std::deque<ItemResult> pending;        // results without a position
-  std::optional<Transaction> attempt;    // write in progress; repeated as it is until its outcome is known
+  std::deque<ItemResult> pending;                     // results without a position
+  std::optional<Transaction> attempt;  // write in progress; repeated as it is until its outcome is known
   BatchLease attempt_lease;
   std::size_t attempt_results = 0;
   bool commit_in_flight = false;
--- a/src/serving/batch_records.cc
+++ b/src/serving/batch_records.cc
@@ -43,8 +43,9 @@
 }  // namespace
 
 std::string EncodeLease(const BatchLease& lease) {
-  return Pack(Json::array({lease.owner, absl::ToInt64Milliseconds(lease.valid_until),
-                           absl::ToInt64Milliseconds(lease.accepted_at), lease.listed, lease.total, lease.finished}));
+  return Pack(
+      Json::array({lease.owner, absl::ToInt64Milliseconds(lease.valid_until),
+                   absl::ToInt64Milliseconds(lease.accepted_at), lease.listed, lease.total, lease.finished}));
 }
 
 std::optional<BatchLease> DecodeLease(std::string_view bytes) {
@@ -64,12 +65,14 @@
   Json items = Json::array();
   for (const BatchItem& it : submission.items) {
     Json headers = Json::array();
-    for (const HeaderField& field : it.headers) headers.push_back(Json::array({Binary(field.name), Binary(field.value)}));
-    items.push_back(Json::array({it.id, it.target, std::move(headers), Binary(it.body), it.group, it.tokens,
-                                 it.length_hint}));
+    for (const HeaderField& field : it.headers)
+      headers.push_back(Json::array({Binary(field.name), Binary(field.value)}));
+    items.push_back(Json::array(
+        {it.id, it.target, std::move(headers), Binary(it.body), it.group, it.tokens, it.length_hint}));
   }
-  return Pack(Json::array({kSubmissionFormat, submission.id, submission.host, submission.path, submission.step,
-                           submission.model, submission.min_version, submission.desired_groups, std::move(items)}));
+  return Pack(
+      Json::array({kSubmissionFormat, submission.id, submission.host, submission.path, submission.step,
+                   submission.model, submission.min_version, submission.desired_groups, std::move(items)}));
 }
 
 std::optional<BatchSubmission> DecodeSubmission(std::string_view bytes) {
@@ -99,7 +102,8 @@
 }
 
 std::string EncodeResult(const ItemResult& result) {
-  return Pack(Json::array({result.item, static_cast<int>(result.state), Binary(result.output), result.versions}));
+  return Pack(
+      Json::array({result.item, static_cast<int>(result.state), Binary(result.output), result.versions}));
 }
 
 std::optional<ItemResult> DecodeResult(std::string_view bytes) {
@@ -114,7 +118,8 @@
 }
 
 std::string EncodePartial(const PartialText& partial) {
-  return Pack(Json::array({partial.item, Binary(partial.output), partial.events, partial.last_event, partial.versions}));
+  return Pack(Json::array(
+      {partial.item, Binary(partial.output), partial.events, partial.last_event, partial.versions}));
 }
 
 std::optional<PartialText> DecodePartial(std::string_view bytes) {
@@ -137,14 +142,15 @@
       .value_or(std::map<std::string, double>());
 }
 
-std::vector<RowWrite> SplitIntoRows(std::string_view table, const std::string& partition, const std::string& key,
-                                    std::string_view bytes, std::size_t most) {
+std::vector<RowWrite> SplitIntoRows(std::string_view table, const std::string& partition,
+                                    const std::string& key, std::string_view bytes, std::size_t most) {
   const std::size_t count = (bytes.size() + 1 + most - 1) / most;
   std::vector<RowWrite> rows;
   std::size_t at = 0;
   for (std::size_t it = 0; it < count; ++it) {
     RowWrite row;
-    row.id = {std::string(table), partition, it == 0 ? key : absl::StrFormat("%s/%03d", key, static_cast<int>(it))};
+    row.id = {std::string(table), partition,
+              it == 0 ? key : absl::StrFormat("%s/%03d", key, static_cast<int>(it))};
     if (it == 0) row.value.push_back(static_cast<char>(count));
     const std::size_t n = std::min(most - row.value.size(), bytes.size() - at);
     row.value.append(bytes.substr(at, n));
@@ -170,13 +176,16 @@
 
 std::string SubmissionKey() { return "a"; }
 
-std::string ObjectName(const std::string& job, int piece) { return absl::StrFormat("batch-%s-%03d", job, piece); }
+std::string ObjectName(const std::string& job, int piece) {
+  return absl::StrFormat("batch-%s-%03d", job, piece);
+}
 
 std::string ResultKey(std::int64_t position) { return absl::StrFormat("r%08d", position); }
 
 std::optional<std::int64_t> ResultPosition(std::string_view key) {
   std::int64_t position = 0;
-  if (!key.starts_with("r") || key.size() != 9 || !ParseInteger(key.substr(1), &position)) return std::nullopt;
+  if (!key.starts_with("r") || key.size() != 9 || !ParseInteger(key.substr(1), &position))
+    return std::nullopt;
   return position;
 }
 
--- a/src/serving/batch_records.h
+++ b/src/serving/batch_records.h
@@ -23,12 +23,12 @@
 
 // Who runs a job. Every write of the owner is conditional on the version of this row.
 struct BatchLease {
-  std::string owner;              // incarnation of a host; empty: nobody
-  absl::Duration valid_until;     // time of the store
-  absl::Duration accepted_at;     // time of the store
-  std::int64_t listed = 0;        // results at fixed positions
-  std::int64_t total = 0;         // items
-  bool finished = false;          // all items are listed
+  std::string owner;           // incarnation of a host; empty: nobody
+  absl::Duration valid_until;  // time of the store
+  absl::Duration accepted_at;  // time of the store
+  std::int64_t listed = 0;     // results at fixed positions
+  std::int64_t total = 0;      // items
+  bool finished = false;       // all items are listed
 };
 std::string EncodeLease(const BatchLease& lease);
 std::optional<BatchLease> DecodeLease(std::string_view bytes);
@@ -56,11 +56,12 @@
 std::string EncodePaces(const std::map<std::string, double>& paces);
 std::map<std::string, double> DecodePaces(std::string_view bytes);
 
-// Cuts `bytes` into rows of at most `most` bytes: `key`, `key`/001, ... The first byte of the first row is the
-// number of rows.
-std::vector<RowWrite> SplitIntoRows(std::string_view table, const std::string& partition, const std::string& key,
-                                    std::string_view bytes, std::size_t most);
-// The bytes of the value that starts at rows[at], and the index after its last row; nullopt if rows are missing.
+// Cuts `bytes` into rows of at most `most` bytes: `key`, `key`/001, ... The first byte of the first row is
+// the number of rows.
+std::vector<RowWrite> SplitIntoRows(std::string_view table, const std::string& partition,
+                                    const std::string& key, std::string_view bytes, std::size_t most);
+// The bytes of the value that starts at rows[at], and the index after its last row; nullopt if rows are
+// missing.
 std::optional<std::string> JoinRows(const std::vector<Row>& rows, std::size_t& at);
 
 // Keys, in the order in which a range returns them.
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -10,11 +10,14 @@
 namespace oleander::serving {
 namespace {
 
-constexpr absl::Duration kFullPause = absl::Milliseconds(120);     // an engine that is full, before the next try
-constexpr absl::Duration kLoadingPause = absl::Milliseconds(900);  // an engine that takes new weights, unless the list says that it has them
-constexpr absl::Duration kMisdirectedPause = absl::Milliseconds(400);  // the list names another incarnation, or old weights
-constexpr absl::Duration kFailedPause = absl::Milliseconds(50);       // an item whose run failed
-constexpr absl::Duration kUnexpectedPause = absl::Milliseconds(500);  // an answer that the protocol does not give to runs
+constexpr absl::Duration kFullPause = absl::Milliseconds(120);  // an engine that is full, before the next try
+constexpr absl::Duration kLoadingPause =
+    absl::Milliseconds(900);  // an engine that takes new weights, unless the list says that it has them
+constexpr absl::Duration kMisdirectedPause =
+    absl::Milliseconds(400);  // the list names another incarnation, or old weights
+constexpr absl::Duration kFailedPause = absl::Milliseconds(50);  // an item whose run failed
+constexpr absl::Duration kUnexpectedPause =
+    absl::Milliseconds(500);  // an answer that the protocol does not give to runs
 constexpr absl::Duration kLeastRunBeforeMove = absl::Milliseconds(400);
 constexpr std::int64_t kCheckpointEvents = 10;  // new events that are worth a write
 constexpr int kUnframedEndsToBelieve = 2;       // ends without a length that agree
@@ -36,8 +39,8 @@
   return job;
 }
 
-// Items with stored text first: their groups are waited for, and they are known to be long. Then the longest by
-// the hint, which decide when the step ends. Every item of the step is wanted, so no length is left out.
+// Items with stored text first: their groups are waited for, and they are known to be long. Then the longest
+// by the hint, which decide when the step ends. Every item of the step is wanted, so no length is left out.
 void BatchService::RankItems(Job& job) {
   std::stable_sort(job.order.begin(), job.order.end(), [&job](std::size_t a, std::size_t b) {
     const Item& left = job.items[a];
@@ -69,54 +72,56 @@
 void BatchService::LoadPartials(Job& job) {
   const std::string id = job.submission.id;
   const Route* const known_route = directory_.FindRoute(job.submission.host, job.submission.path);
-  if (known_route != nullptr && !known_route->services.empty()) LearnPaces(known_route->services.front().service, [] {});
-  store_.Get({std::string(kPartialTable), PartialPartition(job), "", "", 0}, [this, id](const StoreReply& reply) {
-    NoteStoreTime(reply);
-    Job* const found = FindJob(id);
-    if (found == nullptr) return;
-    Job& job = *found;
-    job.ready = true;
-    std::map<std::string, Item*> by_id;
-    for (Item& it : job.items) by_id[it.spec.id] = &it;
-    const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
-    const bool single_version = route != nullptr && route->single_version;
-    int used = 0;
-    for (std::size_t at = 0; at < reply.rows.size();) {
-      const std::string key = reply.rows[at].id.key;
-      const std::size_t before = at;
-      const std::optional<std::string> bytes = JoinRows(reply.rows, at);
-      if (!bytes) {
-        at = before + 1;
-        continue;
-      }
-      const std::optional<PartialText> partial = DecodePartial(*bytes);
-      if (!partial || partial->versions.empty()) continue;
-      const std::int64_t oldest = *std::min_element(partial->versions.begin(), partial->versions.end());
-      if (oldest < job.submission.min_version) {
-        job.partials_to_remove.push_back(key);  // steps only ask for newer weights
-        continue;
-      }
-      const auto it = by_id.find(partial->item);
-      if (it == by_id.end() || it->second->phase != Phase::kWaiting) continue;
-      if (single_version && partial->versions.size() > 1) continue;
-      Item& item = *it->second;
-      item.output = partial->output;
-      item.events = partial->events;
-      item.last_event = partial->last_event;
-      item.versions.insert(partial->versions.begin(), partial->versions.end());
-      item.checkpointed_events = item.events;
-      item.has_partial_row = true;
-      ++used;
-    }
-    if (used > 0) RankItems(job);
-    LogEventLine(LogLevel::kInfo, LogEvent::kBatchOwned,
-                 {{"job", id},
-                  {"total", job.lease.total},
-                  {"listed", job.lease.listed},
-                  {"texts_resumed", used},
-                  {"store", NameOf(reply.outcome)}});
-    Dispatch();
-  });
+  if (known_route != nullptr && !known_route->services.empty())
+    LearnPaces(known_route->services.front().service, [] {});
+  store_.Get(
+      {std::string(kPartialTable), PartialPartition(job), "", "", 0}, [this, id](const StoreReply& reply) {
+        NoteStoreTime(reply);
+        Job* const found = FindJob(id);
+        if (found == nullptr) return;
+        Job& job = *found;
+        job.ready = true;
+        std::map<std::string, Item*> by_id;
+        for (Item& it : job.items) by_id[it.spec.id] = &it;
+        const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+        const bool single_version = route != nullptr && route->single_version;
+        int used = 0;
+        for (std::size_t at = 0; at < reply.rows.size();) {
+          const std::string key = reply.rows[at].id.key;
+          const std::size_t before = at;
+          const std::optional<std::string> bytes = JoinRows(reply.rows, at);
+          if (!bytes) {
+            at = before + 1;
+            continue;
+          }
+          const std::optional<PartialText> partial = DecodePartial(*bytes);
+          if (!partial || partial->versions.empty()) continue;
+          const std::int64_t oldest = *std::min_element(partial->versions.begin(), partial->versions.end());
+          if (oldest < job.submission.min_version) {
+            job.partials_to_remove.push_back(key);  // steps only ask for newer weights
+            continue;
+          }
+          const auto it = by_id.find(partial->item);
+          if (it == by_id.end() || it->second->phase != Phase::kWaiting) continue;
+          if (single_version && partial->versions.size() > 1) continue;
+          Item& item = *it->second;
+          item.output = partial->output;
+          item.events = partial->events;
+          item.last_event = partial->last_event;
+          item.versions.insert(partial->versions.begin(), partial->versions.end());
+          item.checkpointed_events = item.events;
+          item.has_partial_row = true;
+          ++used;
+        }
+        if (used > 0) RankItems(job);
+        LogEventLine(LogLevel::kInfo, LogEvent::kBatchOwned,
+                     {{"job", id},
+                      {"total", job.lease.total},
+                      {"listed", job.lease.listed},
+                      {"texts_resumed", used},
+                      {"store", NameOf(reply.outcome)}});
+        Dispatch();
+      });
 }
 
 void BatchService::Checkpoint(Job& job, bool all, std::function<void()> done) {
@@ -144,7 +149,8 @@
     it.checkpointed_events = it.events;
     it.has_partial_row = true;
   }
-  while (!job.partials_to_remove.empty() && transaction.writes.size() + transaction.removals.size() < kMaxRowsInCommit) {
+  while (!job.partials_to_remove.empty() &&
+         transaction.writes.size() + transaction.removals.size() < kMaxRowsInCommit) {
     transaction.removals.push_back({std::string(kPartialTable), partition, job.partials_to_remove.back()});
     job.partials_to_remove.pop_back();
   }
@@ -158,7 +164,8 @@
     NoteStoreTime(reply);
     if (reply.outcome != StoreOutcome::kOk) {
       // Only work is lost: the texts are generated again.
-      LogEventLine(LogLevel::kWarning, LogEvent::kCheckpointFailed, {{"job", id}, {"store", NameOf(reply.outcome)}});
+      LogEventLine(LogLevel::kWarning, LogEvent::kCheckpointFailed,
+                   {{"job", id}, {"store", NameOf(reply.outcome)}});
     }
     Job* const found = FindJob(id);
     if (found != nullptr) found->checkpoint_in_flight = false;
@@ -182,7 +189,8 @@
   if (!measured) return;
   Transaction transaction;
   transaction.writes = {{{std::string(kPaceTable), service, std::string(kPaceKey)}, EncodePaces(paces)}};
-  store_.Commit(transaction, [this](const StoreReply& reply) { NoteStoreTime(reply); });  // a loss costs speed only
+  store_.Commit(transaction,
+                [this](const StoreReply& reply) { NoteStoreTime(reply); });  // a loss costs speed only
 }
 
 void BatchService::LearnPaces(const std::string& service, std::function<void()> done) {
@@ -215,7 +223,8 @@
     const bool due = (!job->pending.empty() && now >= job->last_commit + settings_.commit_every) ||
                      now >= job->last_commit + settings_.renew_every || job->handing_over;
     if (due && now >= job->retry_at) CommitResults(*job);
-    if (!job->frozen && !job->checkpoint_in_flight && now >= job->last_checkpoint + settings_.checkpoint_every) {
+    if (!job->frozen && !job->checkpoint_in_flight &&
+        now >= job->last_checkpoint + settings_.checkpoint_every) {
       job->last_checkpoint = now;
       Checkpoint(*job, false, [] {});
       SharePaces(*job);
@@ -259,7 +268,8 @@
   if (upstream == nullptr && choice.exact_version != 0) {
     // No engine holds the version of its text any more.
     bool held = false;
-    for (const UpstreamState* it : usable) held = held || WeightsOf(*it, choice.model) == choice.exact_version;
+    for (const UpstreamState* it : usable)
+      held = held || WeightsOf(*it, choice.model) == choice.exact_version;
     if (held) return true;
     DropText(item);
     choice.exact_version = 0;
@@ -345,7 +355,8 @@
   item.checkpointed_events = 0;
 }
 
-void BatchService::OnRunHead(const std::string& id, std::size_t index, std::uint64_t run, const AnswerHead& head) {
+void BatchService::OnRunHead(const std::string& id, std::size_t index, std::uint64_t run,
+                             const AnswerHead& head) {
   Item* const item = FindRun(id, index, run);
   if (item == nullptr) return;
   Job& job = *FindJob(id);
@@ -369,14 +380,16 @@
     return;
   }
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
-  if (route != nullptr && route->single_version && !item->versions.empty() && !item->versions.contains(item->version)) {
+  if (route != nullptr && route->single_version && !item->versions.empty() &&
+      !item->versions.contains(item->version)) {
     Requeue(job, *item, absl::ZeroDuration(), "weights_differ");
     DropText(*item);
     Dispatch();
   }
 }
 
-void BatchService::OnRunBytes(const std::string& id, std::size_t index, std::uint64_t run, std::string_view bytes) {
+void BatchService::OnRunBytes(const std::string& id, std::size_t index, std::uint64_t run,
+                              std::string_view bytes) {
   Item* const item = FindRun(id, index, run);
   if (item == nullptr || item->head.status != 200) return;
   Job& job = *FindJob(id);
@@ -409,7 +422,8 @@
     ++item->events;
     item->last_event = *event->id;
     item->versions.insert(item->version);
-    if (item->events_in_run > 0 && upstream != nullptr) ObserveEventGap(*upstream, now - item->last_progress, now);
+    if (item->events_in_run > 0 && upstream != nullptr)
+      ObserveEventGap(*upstream, now - item->last_progress, now);
     ++item->events_in_run;
     item->last_progress = now;
   }
@@ -425,7 +439,8 @@
   const int status = item->head.status;
   if (end == CallEnd::kComplete && status == 200) {
     const bool cut = !item->reader.pending.empty() || item->reader.has_fields || item->reader.malformed;
-    // Without a length, an end in good order may still be a broken answer: the next run shows whether text is left.
+    // Without a length, an end in good order may still be a broken answer: the next run shows whether text is
+    // left.
     if (!item->head.framed) ++item->unframed_ends;
     const bool believed = item->head.framed || item->unframed_ends >= kUnframedEndsToBelieve;
     if (!cut && item->events > 0 && believed) {
@@ -463,15 +478,16 @@
 }
 
 void BatchService::ListItem(Job& job, Item& item, ItemState state) {
-  LogEventLine(LogLevel::kInfo, LogEvent::kItemListed,
-               {{"job", job.submission.id},
-                {"item", item.spec.id},
-                {"state", state == ItemState::kCompleted ? "completed" : "abandoned"},
-                {"upstream", item.upstream},
-                {"events", item.events},
-                {"runs", item.runs},
-                {"since_start_ms", absl::ToInt64Milliseconds(loop_.Now() - std::min(item.first_started, loop_.Now()))},
-                {"age_ms", absl::ToInt64Milliseconds(StoreNow() - job.lease.accepted_at)}});
+  LogEventLine(
+      LogLevel::kInfo, LogEvent::kItemListed,
+      {{"job", job.submission.id},
+       {"item", item.spec.id},
+       {"state", state == ItemState::kCompleted ? "completed" : "abandoned"},
+       {"upstream", item.upstream},
+       {"events", item.events},
+       {"runs", item.runs},
+       {"since_start_ms", absl::ToInt64Milliseconds(loop_.Now() - std::min(item.first_started, loop_.Now()))},
+       {"age_ms", absl::ToInt64Milliseconds(StoreNow() - job.lease.accepted_at)}});
   StopRun(job, item);
   job.waiting.erase(item.rank);
   item.phase = Phase::kListed;
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -10,10 +10,11 @@
 namespace oleander::serving {
 namespace {
 
-constexpr absl::Duration kRetryPause = absl::Milliseconds(80);        // after a refusal of the store
-constexpr absl::Duration kTakeOverMargin = absl::Milliseconds(150);   // the owner's estimate of the store's time may be ahead
-constexpr absl::Duration kReadPatience = absl::Milliseconds(900);     // of a reader while the store fails
-constexpr absl::Duration kWorstClockStep = absl::Seconds(10);         // a store that restarted its clock
+constexpr absl::Duration kRetryPause = absl::Milliseconds(80);  // after a refusal of the store
+constexpr absl::Duration kTakeOverMargin =
+    absl::Milliseconds(150);  // the owner's estimate of the store's time may be ahead
+constexpr absl::Duration kReadPatience = absl::Milliseconds(900);  // of a reader while the store fails
+constexpr absl::Duration kWorstClockStep = absl::Seconds(10);      // a store that restarted its clock
 constexpr absl::Duration kHandOverPatience = absl::Milliseconds(1500);
 constexpr int kMaxEndTries = 6;
 
@@ -32,12 +33,13 @@
 struct BatchService::Reading {
   std::string job;
   std::int64_t after = 0;
-  absl::Time wait_until;   // for a result
-  absl::Time give_up;      // while the store fails
+  absl::Time wait_until;  // for a result
+  absl::Time give_up;     // while the store fails
   PageDone done;
 };
 
-BatchService::BatchService(Loop& loop, Store& store, UpstreamLink& link, Directory& directory, BatchSettings settings)
+BatchService::BatchService(Loop& loop, Store& store, UpstreamLink& link, Directory& directory,
+                           BatchSettings settings)
     : loop_(loop), store_(store), link_(link), directory_(directory), settings_(std::move(settings)) {}
 BatchService::~BatchService() = default;
 
@@ -49,7 +51,8 @@
 
 int BatchService::waiting_items() const {
   int n = 0;
-  for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) n += static_cast<int>(it.second->waiting.size());
+  for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_)
+    n += static_cast<int>(it.second->waiting.size());
   return n;
 }
 
@@ -63,7 +66,8 @@
   if (reply.outcome != StoreOutcome::kOk && reply.outcome != StoreOutcome::kConflict) return;
   if (reply.store_time <= absl::ZeroDuration()) return;
   const absl::Duration offset = reply.store_time - (loop_.Now() - absl::UnixEpoch());
-  if (!store_time_known_ || offset > store_offset_ || offset < store_offset_ - kWorstClockStep) store_offset_ = offset;
+  if (!store_time_known_ || offset > store_offset_ || offset < store_offset_ - kWorstClockStep)
+    store_offset_ = offset;
   store_time_known_ = true;
 }
 
@@ -127,7 +131,8 @@
     const std::string text = piece == 0 ? accepting->bytes : std::string();
     transaction.writes = SplitIntoRows(kBatchTable, id, SubmissionKey(), text, settings_.max_row_bytes);
     if (piece > 0) transaction.writes[0].value.push_back(static_cast<char>(piece));
-    transaction.writes.push_back({{std::string(kBatchTable), id, std::string(kLeaseKey)}, EncodeLease(accepting->lease)});
+    transaction.writes.push_back(
+        {{std::string(kBatchTable), id, std::string(kLeaseKey)}, EncodeLease(accepting->lease)});
     WriteSubmission(accepting);
     return;
   }
@@ -203,8 +208,9 @@
   transaction.conditions = {{{std::string(kBatchTable), id, std::string(kLeaseKey)}, lease_version},
                             {{std::string(kBatchTable), id, std::string(kEndedKey)}, 0}};
   transaction.writes = {{{std::string(kBatchTable), id, std::string(kLeaseKey)}, EncodeLease(lease)}};
-  LogEventLine(LogLevel::kInfo, LogEvent::kBatchTakeover,
-               {{"job", id}, {"former_owner", expired.owner}, {"listed", expired.listed}, {"total", expired.total}});
+  LogEventLine(
+      LogLevel::kInfo, LogEvent::kBatchTakeover,
+      {{"job", id}, {"former_owner", expired.owner}, {"listed", expired.listed}, {"total", expired.total}});
   store_.Commit(transaction, [this, id, lease](const StoreReply& reply) {
     NoteStoreTime(reply);
     if (reply.outcome == StoreOutcome::kOk) {
@@ -228,54 +234,58 @@
 
 void BatchService::OnJobRows(const std::string& id, const BatchLease& lease, std::int64_t lease_version,
                              std::vector<Row> rows) {
-  FetchSubmission(id, rows, [this, id, lease, lease_version, rows](StoreOutcome outcome,
-                                                                   std::optional<BatchSubmission> submission) {
-    taking_over_.erase(id);
-    if (outcome != StoreOutcome::kOk || !submission || FindJob(id) != nullptr || !accepting_) return;
-    std::set<std::string> listed;
-    for (std::size_t at = 0; at < rows.size();) {
-      const std::size_t row = at;
-      if (!ResultPosition(rows[row].id.key)) {
-        ++at;
-        continue;
-      }
-      const std::optional<std::string> bytes = JoinRows(rows, at);
-      const std::optional<ItemResult> result = bytes ? DecodeResult(*bytes) : std::nullopt;
-      if (!result) {
-        LogEventLine(LogLevel::kError, LogEvent::kRecordUnreadable, {{"job", id}, {"key", rows[row].id.key}});
-        return;
-      }
-      listed.insert(result->item);
-    }
-    Own(std::move(*submission), lease, lease_version);
-    Job& job = *FindJob(id);
-    job.lease.listed = static_cast<std::int64_t>(listed.size());
-    for (Item& it : job.items) {
-      if (!listed.contains(it.spec.id)) continue;
-      it.phase = Phase::kListed;
-      job.waiting.erase(it.rank);
-      --job.unlisted;
-    }
-  });
+  FetchSubmission(id, rows,
+                  [this, id, lease, lease_version, rows](StoreOutcome outcome,
+                                                         std::optional<BatchSubmission> submission) {
+                    taking_over_.erase(id);
+                    if (outcome != StoreOutcome::kOk || !submission || FindJob(id) != nullptr || !accepting_)
+                      return;
+                    std::set<std::string> listed;
+                    for (std::size_t at = 0; at < rows.size();) {
+                      const std::size_t row = at;
+                      if (!ResultPosition(rows[row].id.key)) {
+                        ++at;
+                        continue;
+                      }
+                      const std::optional<std::string> bytes = JoinRows(rows, at);
+                      const std::optional<ItemResult> result = bytes ? DecodeResult(*bytes) : std::nullopt;
+                      if (!result) {
+                        LogEventLine(LogLevel::kError, LogEvent::kRecordUnreadable,
+                                     {{"job", id}, {"key", rows[row].id.key}});
+                        return;
+                      }
+                      listed.insert(result->item);
+                    }
+                    Own(std::move(*submission), lease, lease_version);
+                    Job& job = *FindJob(id);
+                    job.lease.listed = static_cast<std::int64_t>(listed.size());
+                    for (Item& it : job.items) {
+                      if (!listed.contains(it.spec.id)) continue;
+                      it.phase = Phase::kListed;
+                      job.waiting.erase(it.rank);
+                      --job.unlisted;
+                    }
+                  });
 }
 
 void BatchService::FetchRange(RowRange range, std::vector<Row> rows,
                               std::function<void(StoreOutcome, std::vector<Row>)> done) {
-  store_.Get(range, [this, range, rows = std::move(rows), done = std::move(done)](const StoreReply& reply) mutable {
-    NoteStoreTime(reply);
-    if (reply.outcome != StoreOutcome::kOk) {
-      done(reply.outcome, {});
-      return;
-    }
-    rows.insert(rows.end(), reply.rows.begin(), reply.rows.end());
-    if (!reply.has_more || reply.rows.empty()) {
-      done(StoreOutcome::kOk, std::move(rows));
-      return;
-    }
-    RowRange rest = range;
-    rest.from = rows.back().id.key + std::string(1, '\0');
-    FetchRange(std::move(rest), std::move(rows), std::move(done));
-  });
+  store_.Get(range,
+             [this, range, rows = std::move(rows), done = std::move(done)](const StoreReply& reply) mutable {
+               NoteStoreTime(reply);
+               if (reply.outcome != StoreOutcome::kOk) {
+                 done(reply.outcome, {});
+                 return;
+               }
+               rows.insert(rows.end(), reply.rows.begin(), reply.rows.end());
+               if (!reply.has_more || reply.rows.empty()) {
+                 done(StoreOutcome::kOk, std::move(rows));
+                 return;
+               }
+               RowRange rest = range;
+               rest.from = rows.back().id.key + std::string(1, '\0');
+               FetchRange(std::move(rest), std::move(rows), std::move(done));
+             });
 }
 
 void BatchService::FetchSubmission(const std::string& id, std::vector<Row> rows,
@@ -295,20 +305,21 @@
 
 void BatchService::FetchObjects(const std::string& id, int count, std::string bytes,
                                 std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done) {
-  const int piece = static_cast<int>((bytes.size() + settings_.max_object_bytes - 1) / settings_.max_object_bytes);
+  const int piece =
+      static_cast<int>((bytes.size() + settings_.max_object_bytes - 1) / settings_.max_object_bytes);
   if (piece >= count) {
     done(StoreOutcome::kOk, DecodeSubmission(bytes));
     return;
   }
-  store_.GetObject(ObjectName(id, piece),
-                   [this, id, count, bytes = std::move(bytes), done = std::move(done)](const StoreReply& reply) mutable {
-                     if (reply.outcome != StoreOutcome::kOk || reply.rows.empty() || reply.rows[0].value.empty()) {
-                       done(reply.outcome == StoreOutcome::kOk ? StoreOutcome::kUnknown : reply.outcome, std::nullopt);
-                       return;
-                     }
-                     bytes += reply.rows[0].value;
-                     FetchObjects(id, count, std::move(bytes), std::move(done));
-                   });
+  store_.GetObject(ObjectName(id, piece), [this, id, count, bytes = std::move(bytes),
+                                           done = std::move(done)](const StoreReply& reply) mutable {
+    if (reply.outcome != StoreOutcome::kOk || reply.rows.empty() || reply.rows[0].value.empty()) {
+      done(reply.outcome == StoreOutcome::kOk ? StoreOutcome::kUnknown : reply.outcome, std::nullopt);
+      return;
+    }
+    bytes += reply.rows[0].value;
+    FetchObjects(id, count, std::move(bytes), std::move(done));
+  });
 }
 
 // ---- Readers ----------------------------------------------------------------------------------------------
@@ -324,7 +335,8 @@
 }
 
 void BatchService::ReadOnce(const std::shared_ptr<Reading>& reading) {
-  const RowRange range = {std::string(kBatchTable), reading->job, ResultKey(reading->after), std::string(kAllKeysEnd), 0};
+  const RowRange range = {std::string(kBatchTable), reading->job, ResultKey(reading->after),
+                          std::string(kAllKeysEnd), 0};
   store_.Get(range, [this, reading](const StoreReply& reply) {
     NoteStoreTime(reply);
     if (reply.outcome != StoreOutcome::kOk) {
@@ -368,13 +380,14 @@
     }
     if (!lease && reply.has_more) {
       // The answer was full before it came to the lease, which holds the total.
-      store_.Get({std::string(kBatchTable), reading->job, std::string(kLeaseKey), std::string(kAllKeysEnd), 1},
-                 [reading, page](const StoreReply& rest) mutable {
-                   const std::optional<BatchLease> found =
-                       rest.rows.empty() ? std::nullopt : DecodeLease(rest.rows[0].value);
-                   if (found) page.total = found->total;
-                   reading->done(found ? BatchOutcome::kOk : BatchOutcome::kUnsure, page);
-                 });
+      store_.Get(
+          {std::string(kBatchTable), reading->job, std::string(kLeaseKey), std::string(kAllKeysEnd), 1},
+          [reading, page](const StoreReply& rest) mutable {
+            const std::optional<BatchLease> found =
+                rest.rows.empty() ? std::nullopt : DecodeLease(rest.rows[0].value);
+            if (found) page.total = found->total;
+            reading->done(found ? BatchOutcome::kOk : BatchOutcome::kUnsure, page);
+          });
       return;
     }
     if (!lease) {
@@ -393,7 +406,8 @@
       return;
     }
     reading->give_up = std::max(reading->give_up, loop_.Now() + kReadPatience);
-    loop_.After(std::min(settings_.poll_every, reading->wait_until - loop_.Now()), [this, reading] { ReadOnce(reading); });
+    loop_.After(std::min(settings_.poll_every, reading->wait_until - loop_.Now()),
+                [this, reading] { ReadOnce(reading); });
   });
 }
 
@@ -477,7 +491,8 @@
         again();
         return;
       }
-      LogEventLine(LogLevel::kInfo, LogEvent::kBatchEnded, {{"job", job}, {"owned", FindJob(job) != nullptr}});
+      LogEventLine(LogLevel::kInfo, LogEvent::kBatchEnded,
+                   {{"job", job}, {"owned", FindJob(job) != nullptr}});
       Job* owned = FindJob(job);
       if (owned != nullptr) Finish(*owned);
       finish(BatchOutcome::kOk);
@@ -500,8 +515,9 @@
     std::size_t bytes = 0;
     std::size_t count = 0;
     for (const ItemResult& it : job.pending) {
-      std::vector<RowWrite> rows = SplitIntoRows(
-          kBatchTable, id, ResultKey(lease.listed + static_cast<std::int64_t>(count)), EncodeResult(it), settings_.max_row_bytes);
+      std::vector<RowWrite> rows =
+          SplitIntoRows(kBatchTable, id, ResultKey(lease.listed + static_cast<std::int64_t>(count)),
+                        EncodeResult(it), settings_.max_row_bytes);
       std::size_t size = 0;
       for (const RowWrite& row : rows) size += row.value.size();
       if (count > 0 && (bytes + size > settings_.max_commit_bytes ||
@@ -518,7 +534,8 @@
       lease.owner.clear();
       lease.valid_until = absl::ZeroDuration();
     }
-    transaction.writes.push_back({{std::string(kBatchTable), id, std::string(kLeaseKey)}, EncodeLease(lease)});
+    transaction.writes.push_back(
+        {{std::string(kBatchTable), id, std::string(kLeaseKey)}, EncodeLease(lease)});
     job.attempt = std::move(transaction);
     job.attempt_lease = lease;
     job.attempt_results = count;
@@ -564,7 +581,8 @@
   job.lease = job.attempt_lease;
   job.lease_version = committed_version;
   job.attempt.reset();
-  job.pending.erase(job.pending.begin(), job.pending.begin() + static_cast<std::ptrdiff_t>(job.attempt_results));
+  job.pending.erase(job.pending.begin(),
+                    job.pending.begin() + static_cast<std::ptrdiff_t>(job.attempt_results));
   job.last_commit = loop_.Now();
   if (job.lease.finished) {
     Drop(id, "finished");
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -8,7 +8,8 @@
 //   Tick      places items, renews leases, writes results; call it every few milliseconds while busy() holds
 //   HandOver  writes the texts of running items and gives all leases up
 //
-// Owners never coordinate with each other: a write whose lease row has changed fails, and the owner drops the job.
+// Owners never coordinate with each other: a write whose lease row has changed fails, and the owner drops the
+// job.
 #ifndef OLEANDER_SRC_SERVING_BATCH_SERVICE_H_
 #define OLEANDER_SRC_SERVING_BATCH_SERVICE_H_
 
@@ -32,20 +33,20 @@
 namespace oleander::serving {
 
 struct BatchSettings {
-  std::string incarnation;                                         // of this host; differs after each start
-  std::string zone;                                                //
-  absl::Duration lease = absl::Milliseconds(1200);                 // without renewal, another host takes over
-  absl::Duration calm_store = absl::Milliseconds(1500);            // of answered reads, before a host takes over
-  absl::Duration renew_every = absl::Milliseconds(300);            // also bounds how late an end is noticed
-  absl::Duration commit_every = absl::Milliseconds(40);            // results gather for so long
-  absl::Duration checkpoint_every = absl::Milliseconds(1000);      // texts of running items
-  absl::Duration poll_every = absl::Milliseconds(200);             // store reads of a waiting reader
-  absl::Duration silence_limit = absl::Milliseconds(2500);         // a run without a byte is broken off
-  absl::Duration accept_patience = absl::Milliseconds(1500);       // of a submission while the store refuses
-  std::size_t max_row_bytes = 60000;                               // of a row's value
-  std::size_t max_commit_bytes = 500000;                           // of all values in one transaction
-  std::size_t max_object_bytes = 4 << 20;                          //
-  std::size_t max_page_bytes = 900000;                             // results of one answer to a reader
+  std::string incarnation;                                     // of this host; differs after each start
+  std::string zone;                                            //
+  absl::Duration lease = absl::Milliseconds(1200);             // without renewal, another host takes over
+  absl::Duration calm_store = absl::Milliseconds(1500);        // of answered reads, before a host takes over
+  absl::Duration renew_every = absl::Milliseconds(300);        // also bounds how late an end is noticed
+  absl::Duration commit_every = absl::Milliseconds(40);        // results gather for so long
+  absl::Duration checkpoint_every = absl::Milliseconds(1000);  // texts of running items
+  absl::Duration poll_every = absl::Milliseconds(200);         // store reads of a waiting reader
+  absl::Duration silence_limit = absl::Milliseconds(2500);     // a run without a byte is broken off
+  absl::Duration accept_patience = absl::Milliseconds(1500);   // of a submission while the store refuses
+  std::size_t max_row_bytes = 60000;                           // of a row's value
+  std::size_t max_commit_bytes = 500000;                       // of all values in one transaction
+  std::size_t max_object_bytes = 4 << 20;                      //
+  std::size_t max_page_bytes = 900000;                         // results of one answer to a reader
 };
 
 class BatchService {
@@ -84,8 +85,10 @@
   void Own(BatchSubmission submission, const BatchLease& lease, std::int64_t lease_version);
   void TakeOver(const std::string& job, const BatchLease& expired, std::int64_t lease_version);
   void LoadJob(const std::string& job, const BatchLease& lease, std::int64_t lease_version);
-  void OnJobRows(const std::string& job, const BatchLease& lease, std::int64_t lease_version, std::vector<Row> rows);
-  void FetchRange(RowRange range, std::vector<Row> rows, std::function<void(StoreOutcome, std::vector<Row>)> done);
+  void OnJobRows(const std::string& job, const BatchLease& lease, std::int64_t lease_version,
+                 std::vector<Row> rows);
+  void FetchRange(RowRange range, std::vector<Row> rows,
+                  std::function<void(StoreOutcome, std::vector<Row>)> done);
   void FetchSubmission(const std::string& job, std::vector<Row> rows,
                        std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done);
   void FetchObjects(const std::string& job, int count, std::string bytes,
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -13,25 +13,28 @@
 namespace oleander::serving {
 namespace {
 
-constexpr double kDefaultLatencyMs = 20;                          // of an upstream not yet measured
-constexpr absl::Duration kLatencyMemory = absl::Seconds(1);       // an old average returns to the mean of the others
-constexpr double kOtherZoneMs = 2;                                // round trip to another zone
-constexpr double kHedgeShare = 0.4;                               // of the objective
-constexpr absl::Duration kLoadMemory = absl::Milliseconds(800);   // a report of others' work older than this is ignored
-constexpr double kLeastRetryAfter = 0.1;                          // seconds
-constexpr double kRetryAfterSpread = 0.3;                         // seconds
-constexpr double kRetryShareOfTimeLeft = 0.3;                     // callers wait at most a third of it
-constexpr absl::Duration kGapMemory = absl::Milliseconds(400);    // neighbours slow an engine for half a second
-constexpr double kLoadCost = 0.5;                                 // of a full engine; above the true cost, since paces are uncertain
-constexpr double kGroupShare = 0.1;                               // worth of an engine that has read the prompt
-constexpr double kOtherZoneCost = 0.03;                           // bytes between zones are few
-constexpr double kAvoidedCost = 0.5;                              // of the engine that just failed the item
-constexpr double kSlowFactor = 1.8;                               // times the gap elsewhere
-constexpr double kSlowFactorOfLongRun = 1.2;                      // for runs that are likely to be the step's last
-constexpr std::int64_t kLongRunEvents = 24;                       // above the usual length; most of the others have ended
-constexpr int kEventsToJudge = 6;                                 // events of a run before its pace is judged
-constexpr absl::Duration kSilenceFloor = absl::Milliseconds(600); // weights loads pause a stream for longer than noise
-constexpr double kSilenceFactor = 12;                             // times the usual gap
+constexpr double kDefaultLatencyMs = 20;  // of an upstream not yet measured
+constexpr absl::Duration kLatencyMemory =
+    absl::Seconds(1);                // an old average returns to the mean of the others
+constexpr double kOtherZoneMs = 2;   // round trip to another zone
+constexpr double kHedgeShare = 0.4;  // of the objective
+constexpr absl::Duration kLoadMemory =
+    absl::Milliseconds(800);                   // a report of others' work older than this is ignored
+constexpr double kLeastRetryAfter = 0.1;       // seconds
+constexpr double kRetryAfterSpread = 0.3;      // seconds
+constexpr double kRetryShareOfTimeLeft = 0.3;  // callers wait at most a third of it
+constexpr absl::Duration kGapMemory = absl::Milliseconds(400);  // neighbours slow an engine for half a second
+constexpr double kLoadCost = 0.5;        // of a full engine; above the true cost, since paces are uncertain
+constexpr double kGroupShare = 0.1;      // worth of an engine that has read the prompt
+constexpr double kOtherZoneCost = 0.03;  // bytes between zones are few
+constexpr double kAvoidedCost = 0.5;     // of the engine that just failed the item
+constexpr double kSlowFactor = 1.8;      // times the gap elsewhere
+constexpr double kSlowFactorOfLongRun = 1.2;  // for runs that are likely to be the step's last
+constexpr std::int64_t kLongRunEvents = 24;   // above the usual length; most of the others have ended
+constexpr int kEventsToJudge = 6;             // events of a run before its pace is judged
+constexpr absl::Duration kSilenceFloor =
+    absl::Milliseconds(600);           // weights loads pause a stream for longer than noise
+constexpr double kSilenceFactor = 12;  // times the usual gap
 
 // 1 for a fresh observation, 0 for one that is much older than `memory`.
 double Freshness(absl::Time at, absl::Time now, absl::Duration memory) {
@@ -136,7 +139,8 @@
 
 bool ShouldMoveRun(const RunProgress& run) {
   if (run.other_gap_ms <= 0) return false;
-  if (run.since_last_event >= std::max(kSilenceFloor, absl::Milliseconds(run.other_gap_ms * kSilenceFactor))) return true;
+  if (run.since_last_event >= std::max(kSilenceFloor, absl::Milliseconds(run.other_gap_ms * kSilenceFactor)))
+    return true;
   if (run.events_here < kEventsToJudge) return false;
   if (run.gap_ms >= kSlowFactor * run.other_gap_ms) return true;
   const bool always_slower = run.other_pace_ms > 0 && run.pace_ms >= kSlowFactorOfLongRun * run.other_pace_ms;
@@ -145,7 +149,8 @@
 
 int MostLoadsAtOnce(int engines) { return std::max(1, static_cast<int>(std::lround(engines / 5.0))); }
 
-LoadChoice PickLoad(const std::vector<EngineWeights>& engines, const std::map<std::string, std::int64_t>& named,
+LoadChoice PickLoad(const std::vector<EngineWeights>& engines,
+                    const std::map<std::string, std::int64_t>& named,
                     const std::map<std::string, std::vector<std::string>>& assigned, int most_at_once,
                     absl::Time now) {
   int loading = 0;
@@ -183,11 +188,12 @@
     const int wanted = std::max(too_old, half - newest);
     for (int it = 0; it < wanted && it < static_cast<int>(candidates.size()); ++it) {
       const Candidate& candidate = candidates[it];
-      if (!candidate.engine->mine || candidate.engine->loading || now < candidate.engine->blocked_until) continue;
-      // Engines that are too old, then the model with the fewest current engines: after an outage each trainer gets
-      // some engines early.
-      const std::pair<bool, double> order = {candidate.behind <= 1,
-                                             static_cast<double>(newest) / static_cast<double>(holders->second.size())};
+      if (!candidate.engine->mine || candidate.engine->loading || now < candidate.engine->blocked_until)
+        continue;
+      // Engines that are too old, then the model with the fewest current engines: after an outage each
+      // trainer gets some engines early.
+      const std::pair<bool, double> order = {
+          candidate.behind <= 1, static_cast<double>(newest) / static_cast<double>(holders->second.size())};
       if (best.engine.empty() || order < best_order) {
         best = {candidate.engine->id, name.first, name.second};
         best_order = order;
@@ -199,15 +205,18 @@
 }
 
 std::map<std::string, std::vector<std::string>> AssignModels(const std::vector<std::string>& engines,
-                                                             const std::vector<std::string>& models, double copies) {
+                                                             const std::vector<std::string>& models,
+                                                             double copies) {
   std::map<std::string, std::vector<std::string>> assigned;
   if (engines.empty() || models.empty()) return assigned;
   const double share = std::min(1.0, copies / static_cast<double>(models.size()));
-  const int each = std::max(1, static_cast<int>(std::ceil(share * static_cast<double>(engines.size()) - 1e-9)));
+  const int each =
+      std::max(1, static_cast<int>(std::ceil(share * static_cast<double>(engines.size()) - 1e-9)));
   std::map<std::string, int> models_of;
   for (const std::string& model : models) {
     std::vector<std::pair<std::pair<int, std::uint64_t>, std::string>> order;
-    for (const std::string& it : engines) order.push_back({{models_of[it], HashText(absl::StrCat(model, "/", it))}, it});
+    for (const std::string& it : engines)
+      order.push_back({{models_of[it], HashText(absl::StrCat(model, "/", it))}, it});
     std::sort(order.begin(), order.end());
     for (int it = 0; it < each && it < static_cast<int>(order.size()); ++it) {
       assigned[model].push_back(order[it].second);
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -16,17 +16,18 @@
 // ---- Unary calls ------------------------------------------------------------------------------------------
 
 struct UnaryChoice {
-  std::string zone;                       // of this host
-  std::vector<std::string> tried;         // upstreams that already had this request
-  absl::Time now;                         //
+  std::string zone;                // of this host
+  std::vector<std::string> tried;  // upstreams that already had this request
+  absl::Time now;                  //
 };
-// The upstream with the lowest expected answer time, or nullptr. Load answered: one of a few upstreams that is
-// slow for seconds while its load report is late; its own latency average moves work away, and returns to the
-// mean of the others within seconds, so that it is tried again.
+// The upstream with the lowest expected answer time, or nullptr. Load answered: one of a few upstreams that
+// is slow for seconds while its load report is late; its own latency average moves work away, and returns to
+// the mean of the others within seconds, so that it is tried again.
 UpstreamState* PickUnary(const std::vector<UpstreamState*>& usable, const UnaryChoice& choice);
 
 // When a second upstream gets an idempotent request that is still unanswered: at this share of its objective.
-// Load answered: a lost answer or a stalled upstream; the healthy tail is shorter, so few requests are hedged.
+// Load answered: a lost answer or a stalled upstream; the healthy tail is shorter, so few requests are
+// hedged.
 absl::Duration HedgeAfter(absl::Duration objective);
 
 // What a refused caller is told to wait, in seconds. Spread by the request's id, so that callers that were
@@ -38,13 +39,13 @@
 // ---- Items of batch jobs ----------------------------------------------------------------------------------
 
 struct ItemChoice {
-  std::string model;                  //
-  std::int64_t min_version = 0;       // oldest weights that may run it
-  std::int64_t exact_version = 0;     // 0: any from min_version on
-  std::string zone;                   // of this host
-  std::string avoided;                // upstream that just failed it; empty: none
-  std::string preferred;              // upstream that has read the group's prompt; empty: none
-  absl::Time now;                     //
+  std::string model;               //
+  std::int64_t min_version = 0;    // oldest weights that may run it
+  std::int64_t exact_version = 0;  // 0: any from min_version on
+  std::string zone;                // of this host
+  std::string avoided;             // upstream that just failed it; empty: none
+  std::string preferred;           // upstream that has read the group's prompt; empty: none
+  absl::Time now;                  //
 };
 // An upstream with a free slot that holds usable weights, or nullptr: the item waits here, where it can still
 // be placed on whichever upstream is free first. Load answered: a step's items that come all at once, several
@@ -68,8 +69,8 @@
   double other_pace_ms = 0;         //
 };
 // True if a run should be broken off and continued elsewhere from its last event, which costs some ten
-// milliseconds. Load answered: a step's last items on engines that turn slow or silent for a moment, or that are
-// slower than others at all times.
+// milliseconds. Load answered: a step's last items on engines that turn slow or silent for a moment, or that
+// are slower than others at all times.
 bool ShouldMoveRun(const RunProgress& run);
 
 // Median of the known paces; 0: none is known.
@@ -78,31 +79,34 @@
 // ---- Weights ----------------------------------------------------------------------------------------------
 
 struct EngineWeights {
-  std::string id;                               //
-  std::map<std::string, std::int64_t> held;     // version by model
-  bool loading = false;                         // an order is in progress
+  std::string id;                                   //
+  std::map<std::string, std::int64_t> held;         // version by model
+  bool loading = false;                             // an order is in progress
   absl::Time blocked_until = absl::InfinitePast();  // do not order before
-  bool mine = false;                            // this host may order it
+  bool mine = false;                                // this host may order it
 };
 struct LoadChoice {
   std::string engine;  // empty: nothing to load now
   std::string model;   //
   std::int64_t version = 0;
 };
-// The next load that this host should order, unless `most_at_once` of its engines are loading. Steps accept the
-// version before the named one, so half of a model's engines load each version, in turn: an engine that holds the
-// one before goes on serving. Engines that are too old for the step come first. All hosts rank the engines alike,
-// so that the holders of different zones choose the same ones.
-LoadChoice PickLoad(const std::vector<EngineWeights>& engines, const std::map<std::string, std::int64_t>& named,
-                    const std::map<std::string, std::vector<std::string>>& assigned, int most_at_once, absl::Time now);
+// The next load that this host should order, unless `most_at_once` of its engines are loading. Steps accept
+// the version before the named one, so half of a model's engines load each version, in turn: an engine that
+// holds the one before goes on serving. Engines that are too old for the step come first. All hosts rank the
+// engines alike, so that the holders of different zones choose the same ones.
+LoadChoice PickLoad(const std::vector<EngineWeights>& engines,
+                    const std::map<std::string, std::int64_t>& named,
+                    const std::map<std::string, std::vector<std::string>>& assigned, int most_at_once,
+                    absl::Time now);
 
 // Loads of weights slow each other beyond one engine in five.
 int MostLoadsAtOnce(int engines);
 
-// The engines that hold each model, `copies` of the engines' count shared among the models: 1 assigns each engine to one
-// model. Stable: an engine keeps its models when others come or go, as far as the shares allow.
+// The engines that hold each model, `copies` of the engines' count shared among the models: 1 assigns each
+// engine to one model. Stable: an engine keeps its models when others come or go, as far as the shares allow.
 std::map<std::string, std::vector<std::string>> AssignModels(const std::vector<std::string>& engines,
-                                                             const std::vector<std::string>& models, double copies);
+                                                             const std::vector<std::string>& models,
+                                                             double copies);
 
 }  // namespace oleander::serving
 
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -1,18 +1,19 @@
 #include "serving/directory.h"
-#include "serving/text.h"
 
 #include <algorithm>
 #include <set>
 #include <utility>
 
+#include "serving/text.h"
 
 namespace oleander::serving {
 namespace {
 
 constexpr double kLatencyWeight = 0.2;  // of a new sample in the moving average
 constexpr double kGapWeight = 0.15;     // events come in bursts after a pause, so single gaps say little
-constexpr double kPaceWeight = 0.03;    // a second of one run, so that noise on the engine's machine averages out
-constexpr double kPaceOutlier = 3;      // times the pace; a longer pause is a load of weights or a move
+constexpr double kPaceWeight =
+    0.03;                           // a second of one run, so that noise on the engine's machine averages out
+constexpr double kPaceOutlier = 3;  // times the pace; a longer pause is a load of weights or a move
 constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(150);
 constexpr absl::Duration kLongestAvoidance = absl::Seconds(2);
 constexpr int kMostDoublings = 4;
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -16,22 +16,22 @@
 namespace oleander::serving {
 
 struct UpstreamState {
-  UpstreamEntry entry;                //
-  bool listed = true;                 // false: removed from the list; kept while calls are in progress
+  UpstreamEntry entry;  //
+  bool listed = true;   // false: removed from the list; kept while calls are in progress
   absl::Time removal_due = absl::InfiniteFuture();  // a removal that is not believed yet takes effect then
-  int in_flight = 0;                  // calls of this host
-  int waiting_here = 0;               // of `in_flight`, calls without a head yet
-  int failures_in_row = 0;            //
-  absl::Time avoid_until = absl::InfinitePast();  // after failures or refusals
-  ReportedLoad load;                  // newest report
+  int in_flight = 0;                                // calls of this host
+  int waiting_here = 0;                             // of `in_flight`, calls without a head yet
+  int failures_in_row = 0;                          //
+  absl::Time avoid_until = absl::InfinitePast();    // after failures or refusals
+  ReportedLoad load;                                // newest report
   absl::Time load_at = absl::InfinitePast();
-  int in_flight_at_load = 0;          // of this host, when the report was made
-  double latency_ms = 0;              // moving average of unary calls; 0: none yet
+  int in_flight_at_load = 0;  // of this host, when the report was made
+  double latency_ms = 0;      // moving average of unary calls; 0: none yet
   absl::Time latency_at = absl::InfinitePast();
-  double gap_ms = 0;                  // moving average of the time between events of a stream; 0: none yet
+  double gap_ms = 0;  // moving average of the time between events of a stream; 0: none yet
   absl::Time gap_at = absl::InfinitePast();
-  double pace_ms = 0;                 // long average of the same; engines of one service differ; 0: none yet
-  bool pace_own = false;              // measured here, not learned from another host
+  double pace_ms = 0;     // long average of the same; engines of one service differ; 0: none yet
+  bool pace_own = false;  // measured here, not learned from another host
   std::map<std::string, std::int64_t> observed_weights;  // version by model, from answers
   std::map<std::string, absl::Time> loading_until;       // by model: refused while an order is carried out
 };
--- a/src/serving/entry_settings.cc
+++ b/src/serving/entry_settings.cc
@@ -18,7 +18,8 @@
 void ReadAddress(ObjectReader& reader, const std::string& key, std::string& value) {
   const std::size_t kept = value.size();
   reader.Read(key, value, 1, kMaxTextBytes, Presence::kRequired);
-  if (value.size() != kept && !serving::ParseAddress(value)) reader.Problem(key, value, "an IP number and a port");
+  if (value.size() != kept && !serving::ParseAddress(value))
+    reader.Problem(key, value, "an IP number and a port");
 }
 
 void ReadSeconds(ObjectReader& reader, const std::string& key, absl::Duration& value, double unit_s) {
--- a/src/serving/event_stream.cc
+++ b/src/serving/event_stream.cc
@@ -1,13 +1,14 @@
 #include "serving/event_stream.h"
-#include "serving/text.h"
 
 #include <utility>
 
+#include "serving/text.h"
 
 namespace oleander::serving {
 namespace {
 
-constexpr std::size_t kMaxPendingBytes = 1 << 20;  // far above any event; bounds memory against a broken upstream
+constexpr std::size_t kMaxPendingBytes =
+    1 << 20;  // far above any event; bounds memory against a broken upstream
 constexpr std::string_view kWeightsField = "weight-versions";
 
 void ReadField(EventStreamReader& reader, std::string_view line) {
--- a/src/serving/event_stream.h
+++ b/src/serving/event_stream.h
@@ -10,17 +10,17 @@
 namespace oleander::serving {
 
 struct StreamEvent {
-  std::optional<std::int64_t> id;           //
-  std::string data;                         // lines joined by line feeds
-  std::optional<std::int64_t> weights;      // version from this event on, if the event says so
+  std::optional<std::int64_t> id;       //
+  std::string data;                     // lines joined by line feeds
+  std::optional<std::int64_t> weights;  // version from this event on, if the event says so
 };
 
 struct EventStreamReader {
-  std::string pending;                // bytes of a line that is not complete
-  StreamEvent event;                  // fields read so far
-  bool has_fields = false;            //
-  bool has_data = false;              //
-  bool malformed = false;             // a line over the limit, or an id that is no number
+  std::string pending;      // bytes of a line that is not complete
+  StreamEvent event;        // fields read so far
+  bool has_fields = false;  //
+  bool has_data = false;    //
+  bool malformed = false;   // a line over the limit, or an id that is no number
 };
 
 // Adds bytes. Call NextEvent until it returns nullopt.
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -13,7 +13,8 @@
 namespace oleander::serving {
 namespace {
 
-constexpr absl::Duration kRefusedPause = absl::Milliseconds(60);  // an upstream that says it is full, before it gets more
+constexpr absl::Duration kRefusedPause =
+    absl::Milliseconds(60);  // an upstream that says it is full, before it gets more
 
 // The service of a split route, chosen by the request's id, so that a repeated choice is the same.
 std::string ChooseService(const Route& route, const std::string& id) {
@@ -44,10 +45,10 @@
   std::string service;
   AnswerCallback answer;
   absl::Time started;
-  absl::Time end;                           // of the caller's patience or of the route's timeout
-  std::map<CallId, Attempt> attempts;       // in progress
-  std::vector<std::string> tried;           // upstreams
-  int may_have_run = 0;                     // attempts that were sent and not stated as not run
+  absl::Time end;                            // of the caller's patience or of the route's timeout
+  std::map<CallId, Attempt> attempts;        // in progress
+  std::vector<std::string> tried;            // upstreams
+  int may_have_run = 0;                      // attempts that were sent and not stated as not run
   std::optional<HttpResponse> last_failure;  // of an upstream that ran it
   TimerId time_up = 0;
   TimerId hedge = 0;
@@ -61,7 +62,8 @@
   if (retry_after_seconds) {
     response.headers.push_back({"Retry-After", absl::StrFormat("%.3f", *retry_after_seconds)});
   }
-  response.body = absl::StrCat("{\"error\":\"", std::string(row.name), "\",\"not_run\":", row.not_run ? "true" : "false", "}");
+  response.body = absl::StrCat("{\"error\":\"", std::string(row.name),
+                               "\",\"not_run\":", row.not_run ? "true" : "false", "}");
   return response;
 }
 
@@ -80,7 +82,8 @@
   exchange.service = ChooseService(route, exchange.request.id);
   exchange.answer = std::move(answer);
   exchange.started = loop_.Now();
-  exchange.end = exchange.started + std::min(route.timeout, exchange.request.deadline.value_or(absl::InfiniteDuration()));
+  exchange.end = exchange.started +
+                 std::min(route.timeout, exchange.request.deadline.value_or(absl::InfiniteDuration()));
   exchange.time_up = loop_.After(exchange.end - exchange.started, [this, id] { OnTimeUp(id); });
   if (route.kind == RouteKind::kIdempotent && route.max_attempts > 1) {
     exchange.hedge = loop_.After(HedgeAfter(route.objective), [this, id] { OnHedge(id); });
@@ -197,7 +200,8 @@
   const int counted = exchange.may_have_run + static_cast<int>(exchange.attempts.size());
   const bool upstream_left =
       PickUnary(directory_.Usable(exchange.service), {zone_, exchange.tried, loop_.Now()}) != nullptr;
-  if (repeatable && counted < std::max(1, exchange.route.max_attempts) && upstream_left && loop_.Now() < exchange.end) {
+  if (repeatable && counted < std::max(1, exchange.route.max_attempts) && upstream_left &&
+      loop_.Now() < exchange.end) {
     Launch(exchange);
     return;
   }
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -21,7 +21,8 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 8 << 10;  // asked for in one read; the library's default of 512 splits each event
+constexpr std::size_t kReadBytes =
+    8 << 10;  // asked for in one read; the library's default of 512 splits each event
 constexpr std::uint32_t kMaxAnswerHeaderBytes = 64 << 10;
 constexpr absl::Duration kKeepAliveMargin = absl::Milliseconds(500);  // before the peer's own idle timeout
 
@@ -30,7 +31,8 @@
   constexpr std::string_view kTimeout = "timeout=";
   for (const std::string_view part : SplitText(keep_alive, ",; ")) {
     int seconds = 0;
-    if (part.starts_with(kTimeout) && ParseInteger(part.substr(kTimeout.size()), &seconds)) return absl::Seconds(seconds);
+    if (part.starts_with(kTimeout) && ParseInteger(part.substr(kTimeout.size()), &seconds))
+      return absl::Seconds(seconds);
   }
   return fallback;
 }
@@ -198,8 +200,8 @@
   Receive(connection);
 }
 
-// The library's own read does not return while the next chunk's head is incomplete, so that events would arrive
-// only with the end of the answer; the bytes are read here and put into its parser.
+// The library's own read does not return while the next chunk's head is incomplete, so that events would
+// arrive only with the end of the answer; the bytes are read here and put into its parser.
 void HttpClient::Receive(const ConnectionPtr& connection) {
   const CallId id = connection->call;
   connection->socket.async_read_some(connection->buffer.prepare(kReadBytes),
@@ -243,9 +245,10 @@
     for (const http::fields::value_type& it : message) {
       head.headers.push_back({std::string(it.name_string()), std::string(it.value())});
     }
-    connection->idle_until = loop_.Now() + std::min(limits_.max_idle, StatedIdleTimeout(FindHeader(head.headers, "Keep-Alive"),
-                                                                           limits_.max_idle + kKeepAliveMargin) -
-                                                             kKeepAliveMargin);
+    connection->idle_until =
+        loop_.Now() + std::min(limits_.max_idle, StatedIdleTimeout(FindHeader(head.headers, "Keep-Alive"),
+                                                                   limits_.max_idle + kKeepAliveMargin) -
+                                                     kKeepAliveMargin);
     if (connection->handlers.on_head) connection->handlers.on_head(head);
     if (connection->call != id) return;
   }
@@ -270,8 +273,8 @@
   loop_.Cancel(connection->timer);
   HttpCallHandlers handlers = std::move(connection->handlers);
   connection->handlers = {};
-  const bool reusable = end == CallEnd::kComplete && connection->write_done && connection->parser->keep_alive() &&
-                        connection->buffer.size() == 0;
+  const bool reusable = end == CallEnd::kComplete && connection->write_done &&
+                        connection->parser->keep_alive() && connection->buffer.size() == 0;
   if (reusable) {
     Keep(connection);
   } else {
@@ -310,7 +313,8 @@
 
 void HttpClient::CheckTime(const ConnectionPtr& connection) {
   const absl::Time now = loop_.Now();
-  const bool connect_late = !connection->connected && now >= connection->started + connection->connect_timeout;
+  const bool connect_late =
+      !connection->connected && now >= connection->started + connection->connect_timeout;
   const bool silent = connection->connected && connection->silence_timeout != absl::InfiniteDuration() &&
                       now >= connection->last_activity + connection->silence_timeout;
   if (connect_late || silent || now >= connection->deadline) {
--- a/src/serving/http_messages.cc
+++ b/src/serving/http_messages.cc
@@ -13,11 +13,13 @@
     "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te",
     "trailer",    "upgrade",    "transfer-encoding",  "content-length"};
 
-constexpr std::array<std::string_view, 5> kStoreOutcomes = {"ok", "conflict", "refused", "unknown", "history_gone"};
-constexpr std::array<std::string_view, 4> kRouteKinds = {"idempotent", "non_idempotent", "streaming", "rollout"};
+constexpr std::array<std::string_view, 5> kStoreOutcomes = {"ok", "conflict", "refused", "unknown",
+                                                            "history_gone"};
+constexpr std::array<std::string_view, 4> kRouteKinds = {"idempotent", "non_idempotent", "streaming",
+                                                         "rollout"};
 constexpr std::array<std::string_view, 4> kCallEnds = {"complete", "not_sent", "broken", "timed_out"};
-constexpr std::array<std::string_view, 5> kOrderOutcomes = {"accepted", "already_holds", "busy_or_moved", "refused",
-                                                            "unknown"};
+constexpr std::array<std::string_view, 5> kOrderOutcomes = {"accepted", "already_holds", "busy_or_moved",
+                                                            "refused", "unknown"};
 constexpr std::array<std::string_view, 8> kBatchOutcomes = {
     "ok", "accepted", "not_found", "no_route", "invalid", "not_run", "unsure", "outcome_unknown"};
 
--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -19,7 +19,8 @@
 namespace {
 constexpr std::size_t kReadBytes = 4 << 10;  // asked for in one read
 constexpr int kListenBacklog = 1024;
-constexpr absl::Duration kAcceptPause = absl::Milliseconds(50);  // after a failed accept, for example without descriptors
+constexpr absl::Duration kAcceptPause =
+    absl::Milliseconds(50);  // after a failed accept, for example without descriptors
 }  // namespace
 
 struct HttpServer::Connection {
@@ -131,7 +132,8 @@
 // A caller that closes its connection has given up; its next request, sent early, waits in the socket.
 void HttpServer::WatchCaller(const ConnectionPtr& connection) {
   const ExchangeId exchange = connection->exchange;
-  connection->socket.async_wait(tcp::socket::wait_read, [this, connection, exchange](boost::system::error_code ec) {
+  connection->socket.async_wait(tcp::socket::wait_read, [this, connection,
+                                                         exchange](boost::system::error_code ec) {
     if (connection->exchange != exchange || exchange == 0) return;
     char byte = 0;
     const ssize_t n = ec ? 0 : recv(connection->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/serving/weights_control.cc
+++ b/src/serving/weights_control.cc
@@ -87,7 +87,8 @@
 }
 
 // Takes a lease whose row has not changed for so long that its holder has stopped ordering for the gap.
-void WeightsControl::JudgeLease(const std::string& name, const std::string& zone, Lease& lease, const Row* row) {
+void WeightsControl::JudgeLease(const std::string& name, const std::string& zone, Lease& lease,
+                                const Row* row) {
   const absl::Time now = loop_.Now();
   const std::int64_t version = row == nullptr ? 0 : row->version;
   if (version != lease.seen_version) {
@@ -102,7 +103,8 @@
   if (now - lease.seen_since >= quiet) TakeLease(name, zone, lease, version);
 }
 
-void WeightsControl::TakeLease(const std::string& name, const std::string& zone, Lease& lease, std::int64_t version) {
+void WeightsControl::TakeLease(const std::string& name, const std::string& zone, Lease& lease,
+                               std::int64_t version) {
   lease.calling = true;
   const absl::Time sent = loop_.Now();
   Transaction transaction;
@@ -154,7 +156,8 @@
   });
 }
 
-void WeightsControl::Lose(const std::string& name, const std::string& zone, Lease& lease, std::string_view reason) {
+void WeightsControl::Lose(const std::string& name, const std::string& zone, Lease& lease,
+                          std::string_view reason) {
   LogEventLine(LogLevel::kWarning, LogEvent::kLeaseLost,
                {{"lease", "weights"}, {"service", name}, {"zone", zone}, {"reason", reason}});
   lease.holder = false;
@@ -319,7 +322,8 @@
       return;
     }
     found->report_known = false;
-    found->weights.blocked_until = now + (outcome == OrderOutcome::kBusyOrMoved ? settings_.report_every : kRefusedOrder);
+    found->weights.blocked_until =
+        now + (outcome == OrderOutcome::kBusyOrMoved ? settings_.report_every : kRefusedOrder);
   });
 }
 
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -84,7 +84,8 @@
   }
   // The outcome, or nullopt while there is none.
   std::shared_ptr<std::optional<BatchOutcome>> Submit(TestHost& host, BatchSubmission job) {
-    const std::shared_ptr<std::optional<BatchOutcome>> outcome = std::make_shared<std::optional<BatchOutcome>>();
+    const std::shared_ptr<std::optional<BatchOutcome>> outcome =
+        std::make_shared<std::optional<BatchOutcome>>();
     host.batches->Submit(std::move(job), [outcome](BatchOutcome done) { *outcome = done; });
     return outcome;
   }
@@ -96,9 +97,10 @@
   // Reads all results as a trainer does, from position 0.
   std::pair<BatchOutcome, BatchPage> ReadNow(TestHost& host, const std::string& job, std::int64_t after = 0) {
     std::pair<BatchOutcome, BatchPage> read = {BatchOutcome::kUnsure, {}};
-    host.batches->Read(job, after, absl::ZeroDuration(), [&read](BatchOutcome outcome, const BatchPage& page) {
-      read = {outcome, page};
-    });
+    host.batches->Read(job, after, absl::ZeroDuration(),
+                       [&read](BatchOutcome outcome, const BatchPage& page) {
+                         read = {outcome, page};
+                       });
     loop.RunFor(absl::Milliseconds(1100));
     return read;
   }
@@ -136,7 +138,8 @@
   for (const ItemResult& it : page.results) EXPECT_EQ(it.versions, std::vector<std::int64_t>{5});
 }
 
-// Guards against a job that is accepted twice, or refused although it was accepted, when the store's answer is lost.
+// Guards against a job that is accepted twice, or refused although it was accepted, when the store's answer
+// is lost.
 TEST_F(BatchServiceTest, AcceptsAJobOnceWhenTheAnswerIsLost) {
   TestHost& first = AddHost("h1");
   TestHost& second = AddHost("h2");
@@ -195,11 +198,12 @@
   for (int it = 0; it < 12; ++it) ReadNow(second, kJob);
   const BatchPage after = ReadNow(second, kJob).second;
   ExpectWhole(after, 20);
-  for (std::size_t it = 0; it < before.results.size(); ++it) EXPECT_EQ(after.results[it].item, before.results[it].item);
+  for (std::size_t it = 0; it < before.results.size(); ++it)
+    EXPECT_EQ(after.results[it].item, before.results[it].item);
 }
 
-// Replays an outage of the store for all hosts: when it returns, a reader must not take the job from its living
-// owner, whose runs have gone on.
+// Replays an outage of the store for all hosts: when it returns, a reader must not take the job from its
+// living owner, whose runs have gone on.
 TEST_F(BatchServiceTest, OwnersKeepTheirJobsOverAnOutage) {
   TestHost& first = AddHost("h1");
   TestHost& second = AddHost("h2");
@@ -236,7 +240,8 @@
   ExpectWhole(ReadNow(second, kJob).second, 20);
 }
 
-// Guards against results that are shown before they are durable: while the owner cannot write, nothing is listed.
+// Guards against results that are shown before they are durable: while the owner cannot write, nothing is
+// listed.
 TEST_F(BatchServiceTest, ResultsWaitForTheStore) {
   TestHost& host = AddHost("h1");
   ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 8)), BatchOutcome::kAccepted);
@@ -258,7 +263,9 @@
   TestHost& host = AddHost("h1");
   ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 30)), BatchOutcome::kAccepted);
   int n = 0;
-  host.store.commit_fault = [&n](const Transaction&) { return ++n % 2 == 0 ? StoreFault::kLoseAnswer : StoreFault::kNone; };
+  host.store.commit_fault = [&n](const Transaction&) {
+    return ++n % 2 == 0 ? StoreFault::kLoseAnswer : StoreFault::kNone;
+  };
   loop.RunFor(absl::Seconds(60));
   host.store.commit_fault = nullptr;
   loop.RunFor(absl::Seconds(2));
@@ -285,7 +292,8 @@
   EXPECT_EQ(ended.value(), BatchOutcome::kOk);
 }
 
-// Guards against labels that name the version ordered instead of the one that generated, and against old tokens.
+// Guards against labels that name the version ordered instead of the one that generated, and against old
+// tokens.
 TEST_F(BatchServiceTest, LabelsNameTheVersionsThatGeneratedTheEvents) {
   TestHost& host = AddHost("h1");
   engines.lengths["item0"] = 40;
@@ -415,14 +423,16 @@
   ASSERT_EQ(SubmitNow(first, MakeJob(kJob, 4)), BatchOutcome::kAccepted);
   for (TestHost* host : {&first, &second}) {
     std::string body;
-    host->batches->ItemBody(kJob, "item2", [&body](BatchOutcome, std::string bytes) { body = std::move(bytes); });
+    host->batches->ItemBody(kJob, "item2",
+                            [&body](BatchOutcome, std::string bytes) { body = std::move(bytes); });
     loop.RunFor(absl::Milliseconds(50));
     EXPECT_EQ(body, std::string("\x00\xff body ", 8) + "item2");
   }
   EXPECT_EQ(ReadNow(second, "no-such-job").first, BatchOutcome::kNotFound);
   second.store.cut = true;
   std::optional<BatchOutcome> read;
-  second.batches->Read("no-such-job", 0, absl::ZeroDuration(), [&read](BatchOutcome outcome, const BatchPage&) { read = outcome; });
+  second.batches->Read("no-such-job", 0, absl::ZeroDuration(),
+                       [&read](BatchOutcome outcome, const BatchPage&) { read = outcome; });
   loop.RunFor(absl::Seconds(4));
   EXPECT_EQ(read.value(), BatchOutcome::kUnsure);
 }
@@ -436,7 +446,8 @@
   ASSERT_EQ(SubmitNow(first, job), BatchOutcome::kAccepted);
   EXPECT_GT(store.objects.size(), 1u);
   std::string body;
-  second.batches->ItemBody(kJob, "item7", [&body](BatchOutcome, std::string bytes) { body = std::move(bytes); });
+  second.batches->ItemBody(kJob, "item7",
+                           [&body](BatchOutcome, std::string bytes) { body = std::move(bytes); });
   loop.RunFor(absl::Milliseconds(100));
   EXPECT_EQ(body.size(), 800000u);
 }
--- a/tests/frontend_test.cc
+++ b/tests/frontend_test.cc
@@ -40,8 +40,10 @@
     loop_.After(delay, [this, id, script, handlers] {
       if (sent[id].cancelled) return;
       if (script.end == CallEnd::kComplete || !script.body.empty()) {
-        if (script.end != CallEnd::kNotSent && script.end != CallEnd::kTimedOut) handlers.on_head(script.head);
-        if (script.end != CallEnd::kNotSent && script.end != CallEnd::kTimedOut) handlers.on_body(script.body);
+        if (script.end != CallEnd::kNotSent && script.end != CallEnd::kTimedOut)
+          handlers.on_head(script.head);
+        if (script.end != CallEnd::kNotSent && script.end != CallEnd::kTimedOut)
+          handlers.on_body(script.body);
       }
       if (sent[id].cancelled) return;
       handlers.on_end(script.end);
@@ -94,7 +96,8 @@
     request.host = "app.example";
     request.deadline = deadline;
     request.http = {"POST", "/l/x", {{"Host", "app.example"}}, "body"};
-    return frontend.Handle(std::move(request), route, [this](HttpResponse response) { answers.push_back(response); });
+    return frontend.Handle(std::move(request), route,
+                           [this](HttpResponse response) { answers.push_back(response); });
   }
   void AllAnswer(const ScriptedLink::Script& script) {
     for (const char* id : {"u1", "u2", "u3"}) link.scripts[id].assign(4, script);
@@ -277,7 +280,8 @@
   EXPECT_EQ(directory.FindRoute("other.example", "/l/x"), nullptr);
 }
 
-// Guards against new work for an upstream that leaves, and against the loss of all upstreams while the store is away.
+// Guards against new work for an upstream that leaves, and against the loss of all upstreams while the store
+// is away.
 TEST_F(FrontendTest, LeavingUpstreamsGetNothingNew) {
   UpstreamEntry leaving = directory.Find("u1")->entry;
   leaving.draining = true;
@@ -297,7 +301,8 @@
 
 // ---- Decisions --------------------------------------------------------------------------------------------
 
-// Replays one of three upstreams at a tenth of its speed: it gets little work while it is slow, and is tried again.
+// Replays one of three upstreams at a tenth of its speed: it gets little work while it is slow, and is tried
+// again.
 TEST(Decisions, ASlowUpstreamIsAvoidedForAWhile) {
   std::vector<UpstreamState> states(3);
   std::vector<UpstreamState*> usable;
@@ -326,7 +331,8 @@
   EXPECT_LE(RetryAfterSeconds(absl::Milliseconds(30), "r"), 0.011);
 }
 
-// Replays a step on engines of which some are slower at all times: the first, longest items go to the fast ones.
+// Replays a step on engines of which some are slower at all times: the first, longest items go to the fast
+// ones.
 TEST(Decisions, ItemsGoToFastEnginesFirstAndWaitWhenAllAreFull) {
   std::vector<UpstreamState> states(3);
   std::vector<UpstreamState*> usable;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,5 +1,5 @@
-// Translation between the platform's wire and the core: records that cannot be read, the store's answers, and the
-// rule that no other folder knows the wire's names.
+// Translation between the platform's wire and the core: records that cannot be read, the store's answers, and
+// the rule that no other folder knows the wire's names.
 #include <gtest/gtest.h>
 
 #include <filesystem>
@@ -54,9 +54,11 @@
   EXPECT_EQ(policy->limits.max_body_bytes, 1000000);
 }
 
-// Guards against a policy that is half applied: one that cannot be read as a whole leaves the last good one in force.
+// Guards against a policy that is half applied: one that cannot be read as a whole leaves the last good one
+// in force.
 TEST(Decode, RefusesAPolicyThatCannotBeReadAsAWhole) {
-  for (const char* text : {"", "null", "[]", "{", R"({"version":"x"})", R"({"version":3,"routes":[{"name":"r"}],"services":[]})"}) {
+  for (const char* text : {"", "null", "[]", "{", R"({"version":"x"})",
+                           R"({"version":3,"routes":[{"name":"r"}],"services":[]})"}) {
     EXPECT_FALSE(DecodePolicy(text)) << text;
   }
 }
@@ -94,7 +96,8 @@
   ASSERT_EQ(job->items.size(), 1u);
   EXPECT_EQ(job->items[0].body, absl::HexStringToBytes("abcdef1234567890"));
   EXPECT_EQ(job->items[0].length_hint, 900);
-  for (const char* text : {"", "7", "{}", R"({"items":[{"id":"i"}]})", R"({"items":[{"id":"i","path":"/","body":"%%"}]})"}) {
+  for (const char* text :
+       {"", "7", "{}", R"({"items":[{"id":"i"}]})", R"({"items":[{"id":"i","path":"/","body":"%%"}]})"}) {
     EXPECT_FALSE(DecodeSubmission(text)) << text;
   }
 }
@@ -105,7 +108,8 @@
   job.id = "job";
   job.host = "a.example";
   job.path = "/r/x";
-  const std::optional<serving::BatchSubmission> back = serving::DecodeSubmission(serving::EncodeSubmission(job));
+  const std::optional<serving::BatchSubmission> back =
+      serving::DecodeSubmission(serving::EncodeSubmission(job));
   ASSERT_TRUE(back);
   EXPECT_EQ(back->items[0].body, job.items[0].body);
   EXPECT_EQ(back->items[0].headers.size(), job.items[0].headers.size());
@@ -146,13 +150,15 @@
   serving::StoreReply reply;
   ASSERT_TRUE(DecodeRows(R"({"rows":[{"table":"t","part":"p","key":"k","value":"bm9kZS0x","ver":412},
                              {"table":"t","part":"p","key":"l","ver":413,"deleted":true}],
-                             "hasMore":true,"ver":530,"nowMs":51230})", reply));
+                             "hasMore":true,"ver":530,"nowMs":51230})",
+                         reply));
   EXPECT_EQ(reply.rows[0].value, "node-1");
   EXPECT_TRUE(reply.rows[1].removed);
   EXPECT_EQ(reply.version, 530);
   EXPECT_EQ(reply.store_time, absl::Milliseconds(51230));
   EXPECT_TRUE(reply.has_more);
-  for (const char* text : {"", "[]", R"({"rows":[{"table":1}]})", R"({"rows":[{"value":"%%%"}]})", R"({"ver":"x"})"}) {
+  for (const char* text :
+       {"", "[]", R"({"rows":[{"table":1}]})", R"({"rows":[{"value":"%%%"}]})", R"({"ver":"x"})"}) {
     serving::StoreReply none;
     EXPECT_FALSE(DecodeRows(text, none)) << text;
   }
@@ -169,7 +175,9 @@
   ASSERT_TRUE(answer.load);
   EXPECT_EQ(answer.load->waiting, 1);
   EXPECT_DOUBLE_EQ(answer.load->slowdown, 2.5);
-  EXPECT_EQ(DecodeReport(R"({"models":[{"name":"m","version":3}],"busy":true,"sequence":2,"running":1})").orders_accepted, 2);
+  EXPECT_EQ(DecodeReport(R"({"models":[{"name":"m","version":3}],"busy":true,"sequence":2,"running":1})")
+                .orders_accepted,
+            2);
   EXPECT_FALSE(DecodeReport(R"({"models":[{"name":"m"}],"sequence":2})").known);
   EXPECT_FALSE(DecodeReport("no json").known);
 }
@@ -200,13 +208,16 @@
 }
 
 TEST(EventStream, EventsComeOutWhateverTheCuts) {
-  const std::string text = "weight-versions: 6\nid: 4\ndata: one\ndata: two\n\n: comment\n\nid: 5\r\ndata: three\r\n\r\nid: 6\ndata: cut";
+  const std::string text =
+      "weight-versions: 6\nid: 4\ndata: one\ndata: two\n\n: comment\n\nid: 5\r\ndata: three\r\n\r\nid: "
+      "6\ndata: cut";
   for (std::size_t cut = 0; cut <= text.size(); ++cut) {
     serving::EventStreamReader reader;
     std::vector<serving::StreamEvent> events;
     for (const std::string& part : {text.substr(0, cut), text.substr(cut)}) {
       serving::AddBytes(reader, part);
-      while (const std::optional<serving::StreamEvent> event = serving::NextEvent(reader)) events.push_back(*event);
+      while (const std::optional<serving::StreamEvent> event = serving::NextEvent(reader))
+        events.push_back(*event);
     }
     ASSERT_EQ(events.size(), 2u) << cut;
     EXPECT_EQ(events[0].data, "one\ntwo");
@@ -276,12 +287,14 @@
 // ---- Settings and the boundary ----------------------------------------------------------------------------
 
 TEST(EntrySettings, NamesEachProblemWithItsPath) {
-  const std::string good = R"({"host":"h","zone":"z","listen":{"callers":"10.0.0.1:1","readiness":"10.0.0.1:2"},
+  const std::string good =
+      R"({"host":"h","zone":"z","listen":{"callers":"10.0.0.1:1","readiness":"10.0.0.1:2"},
     "store":{"address":"10.0.0.2:3"},"shutdown_grace_s":8,"order_hand_over_ms":3000})";
   Outcome<EntrySettings> settings = Capture<EntrySettings>([&good] { return ParseEntrySettings(good); });
   ASSERT_TRUE(Ok(settings));
   EXPECT_EQ(Value(settings).shutdown_grace, absl::Seconds(8));
-  const std::string bad = R"({"host":"","zone":"z","listen":{"callers":"nowhere","readiness":"10.0.0.1:2","extra":1},
+  const std::string bad =
+      R"({"host":"","zone":"z","listen":{"callers":"nowhere","readiness":"10.0.0.1:2","extra":1},
     "store":{"address":"10.0.0.2:3"},"shutdown_grace_s":-1,"order_hand_over_ms":3000,"log_level":"loud"})";
   settings = Capture<EntrySettings>([&bad] { return ParseEntrySettings(bad); });
   ASSERT_FALSE(Ok(settings));
@@ -290,14 +303,15 @@
   }
 }
 
-// Guards against the platform's words outside platform/. Request-Id and Not-Run are left out: the project's own
-// interface has had headers of these names before.
+// Guards against the platform's words outside platform/. Request-Id and Not-Run are left out: the project's
+// own interface has had headers of these names before.
 TEST(Boundary, NoOtherFolderNamesTheWire) {
   const std::regex words(
       R"re("(expectedRev|warmupLeftMs|routeKind|runAimMs|targetLatencyMs|trafficSplit|kvUsed|nodeName)"|/api/(rows|blob|order|report|lots|items|readiness)|Server-Stamp|Expect-Instance|Weight-Versions|Server-Load|Prompt-Prefix)re");
   int files = 0;
   for (const char* folder : {"include", "src", "programs"}) {
-    for (const auto& it : std::filesystem::recursive_directory_iterator(std::filesystem::path(OLEANDER_SOURCE_DIR) / folder)) {
+    for (const auto& it :
+         std::filesystem::recursive_directory_iterator(std::filesystem::path(OLEANDER_SOURCE_DIR) / folder)) {
       if (!it.is_regular_file()) continue;
       std::ifstream file(it.path());
       const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -70,7 +70,8 @@
   }
   ++version;
   ++commits;
-  for (const RowWrite& it : transaction.writes) rows[PartitionOf(it.id)][it.id.key] = {it.id, it.value, version, false};
+  for (const RowWrite& it : transaction.writes)
+    rows[PartitionOf(it.id)][it.id.key] = {it.id, it.value, version, false};
   for (const RowKey& it : transaction.removals) rows[PartitionOf(it)].erase(it.key);
   reply.outcome = StoreOutcome::kOk;
   reply.version = version;
@@ -109,7 +110,8 @@
 }
 
 void StorePort::Get(const RowRange& range, StoreCallback done) {
-  Answer(kStoreDelay, [this, range] { return store_.Range(range); }, std::move(done));
+  Answer(
+      kStoreDelay, [this, range] { return store_.Range(range); }, std::move(done));
 }
 
 void StorePort::Commit(const Transaction& transaction, StoreCallback done) {
@@ -117,7 +119,8 @@
   if (fault == StoreFault::kRefuse) {
     StoreReply refused;
     refused.outcome = StoreOutcome::kRefused;
-    Answer(kStoreDelay, [refused] { return refused; }, std::move(done));
+    Answer(
+        kStoreDelay, [refused] { return refused; }, std::move(done));
     return;
   }
   if (fault == StoreFault::kLoseAnswer) store_.Apply(transaction);
@@ -127,38 +130,44 @@
     });
     return;
   }
-  Answer(kStoreDelay, [this, transaction] { return store_.Apply(transaction); }, std::move(done));
+  Answer(
+      kStoreDelay, [this, transaction] { return store_.Apply(transaction); }, std::move(done));
 }
 
 void StorePort::Watch(const std::string&, std::int64_t, absl::Duration wait, StoreCallback done) {
-  Answer(wait, [] { return StoreReply(); }, std::move(done));
+  Answer(
+      wait, [] { return StoreReply(); }, std::move(done));
 }
 
 void StorePort::PutObject(const std::string& name, std::string bytes, StoreCallback done) {
-  Answer(kStoreDelay,
-         [this, name, bytes = std::move(bytes)] {
-           StoreReply reply;
-           reply.outcome = store_.objects.try_emplace(name, bytes).second ? StoreOutcome::kOk : StoreOutcome::kConflict;
-           return reply;
-         },
-         std::move(done));
+  Answer(
+      kStoreDelay,
+      [this, name, bytes = std::move(bytes)] {
+        StoreReply reply;
+        reply.outcome =
+            store_.objects.try_emplace(name, bytes).second ? StoreOutcome::kOk : StoreOutcome::kConflict;
+        return reply;
+      },
+      std::move(done));
 }
 
 void StorePort::GetObject(const std::string& name, StoreCallback done) {
-  Answer(kStoreDelay,
-         [this, name] {
-           StoreReply reply;
-           reply.outcome = StoreOutcome::kOk;
-           const auto it = store_.objects.find(name);
-           if (it != store_.objects.end()) reply.rows.push_back({{}, it->second, 1, false});
-           return reply;
-         },
-         std::move(done));
+  Answer(
+      kStoreDelay,
+      [this, name] {
+        StoreReply reply;
+        reply.outcome = StoreOutcome::kOk;
+        const auto it = store_.objects.find(name);
+        if (it != store_.objects.end()) reply.rows.push_back({{}, it->second, 1, false});
+        return reply;
+      },
+      std::move(done));
 }
 
 // ---- Engines
 
-FakeEngine& FakeEngines::Add(const std::string& id, const std::string& service, const std::string& zone, int slots) {
+FakeEngine& FakeEngines::Add(const std::string& id, const std::string& service, const std::string& zone,
+                             int slots) {
   FakeEngine& engine = engines[id];
   engine.entry.id = id;
   engine.entry.service = service;
@@ -218,7 +227,8 @@
     head.request_id = request;
     head.signed_answer = true;
     head.load = ReportedLoad{engine.running, 0, engine.entry.slots, 1};
-    if (engine.running > engine.entry.slots || (loop_.Now() < engine.loading_until && engine.loading_model == model)) {
+    if (engine.running > engine.entry.slots ||
+        (loop_.Now() < engine.loading_until && engine.loading_model == model)) {
       head.status = 503;
       head.not_run = true;
       SendHead(id, head);
@@ -279,7 +289,8 @@
     if (version != call.version) absl::StrAppend(&text, "weight-versions: ", version, "\n");
     call.version = version;
     engines_.made_under[call.request.request_id][static_cast<int>(call.next_event)] = version;
-    absl::StrAppend(&text, "id: ", call.next_event, "\ndata: ", call.request.request_id, ":", call.next_event, "\n\n");
+    absl::StrAppend(&text, "id: ", call.next_event, "\ndata: ", call.request.request_id, ":", call.next_event,
+                    "\n\n");
     ++call.next_event;
     ++call.made;
     const std::function<void(std::string_view)> on_body = call.handlers.on_body;
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -1,5 +1,5 @@
-// Fakes of the serving core's ports on a manual clock: time, the platform's store, and engines that generate a
-// known text. Each keeps its own books, from which tests check the promises.
+// Fakes of the serving core's ports on a manual clock: time, the platform's store, and engines that generate
+// a known text. Each keeps its own books, from which tests check the promises.
 #ifndef OLEANDER_TESTS_SERVING_FAKES_H_
 #define OLEANDER_TESTS_SERVING_FAKES_H_
 
@@ -79,10 +79,10 @@
   absl::Time loading_until = absl::InfinitePast();
   std::string loading_model;
   int running = 0;
-  bool silent = false;           // heads and events stop
-  bool ignores_orders = false;   // unanswered, and carried out when told
-  int fail_next = 0;             // requests answered with 500
-  int break_after_events = 0;    // of the next run; 0: never
+  bool silent = false;          // heads and events stop
+  bool ignores_orders = false;  // unanswered, and carried out when told
+  int fail_next = 0;            // requests answered with 500
+  int break_after_events = 0;   // of the next run; 0: never
 };
 
 struct OrderRecord {
@@ -106,12 +106,12 @@
   void List(Directory& directory) const;
 
   std::map<std::string, FakeEngine> engines;
-  std::map<std::string, int> lengths;        // events by request id; default 10
-  std::set<std::string> impossible;          // answered with 422
+  std::map<std::string, int> lengths;                             // events by request id; default 10
+  std::set<std::string> impossible;                               // answered with 422
   std::map<std::string, std::map<int, std::int64_t>> made_under;  // request, event: version
   std::vector<OrderRecord> orders;
   std::vector<RunRecord> runs;
-  std::vector<std::pair<std::string, WeightsOrder>> unanswered;   // orders of engines that ignore them
+  std::vector<std::pair<std::string, WeightsOrder>> unanswered;  // orders of engines that ignore them
 
   // Carries out an order as it arrives at the engine.
   OrderOutcome Carry(const std::string& engine, const WeightsOrder& order);
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -17,7 +17,8 @@
 
 using tcp = asio::ip::tcp;
 
-constexpr absl::Duration kLongestTest = absl::Seconds(20);  // ends a test that hangs; no verdict depends on it
+constexpr absl::Duration kLongestTest =
+    absl::Seconds(20);  // ends a test that hangs; no verdict depends on it
 
 // Serves raw bytes: `script` gets each accepted connection on a thread of its own.
 struct RawServer {
@@ -70,8 +71,8 @@
   ServingHttpTest() {
     loop.After(kLongestTest, [this] { loop.Stop(); });
   }
-  std::shared_ptr<Result> Call(const std::string& address, std::string body = "", absl::Duration timeout = absl::Seconds(10),
-                               bool stop = true) {
+  std::shared_ptr<Result> Call(const std::string& address, std::string body = "",
+                               absl::Duration timeout = absl::Seconds(10), bool stop = true) {
     const std::shared_ptr<Result> result = std::make_shared<Result>();
     HttpCall call;
     call.address = address;
@@ -122,7 +123,8 @@
 
 // Guards against truncated answers that look complete.
 TEST_F(ServingHttpTest, ATruncatedAnswerIsBroken) {
-  for (const char* answer : {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfir",
+  for (const char* answer : {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfir",
                              "HTTP/1.1 200 O", "nonsense\r\n\r\n", ""}) {
     RawServer server([answer](tcp::socket& socket) {
       ReadHead(socket);
@@ -138,7 +140,9 @@
 TEST_F(ServingHttpTest, AConnectionWithExtraBytesIsNotReused) {
   RawServer server([](tcp::socket& socket) {
     ReadHead(socket);
-    WriteText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil");
+    WriteText(
+        socket,
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil");
   });
   for (int it = 0; it < 2; ++it) {
     const std::shared_ptr<Result> result = Call(server.address());
@@ -224,7 +228,8 @@
   Run();
   callers.join();
   for (std::size_t it = 0; it < cases.size(); ++it) {
-    EXPECT_NE(answers[it].find(absl::StrCat("HTTP/1.1 ", cases[it].second)), std::string::npos) << cases[it].first << answers[it];
+    EXPECT_NE(answers[it].find(absl::StrCat("HTTP/1.1 ", cases[it].second)), std::string::npos)
+        << cases[it].first << answers[it];
   }
   EXPECT_EQ(handled, 0);
 }
--- a/tests/weights_control_test.cc
+++ b/tests/weights_control_test.cc
@@ -127,7 +127,8 @@
   EXPECT_EQ(Holding(5), 8);
 }
 
-// Guards against a zone whose loads stop for good with its holder, and against a successor that comes too early.
+// Guards against a zone whose loads stop for good with its holder, and against a successor that comes too
+// early.
 TEST_F(WeightsControlTest, AnotherHostTakesOverWhenTheHolderIsCutOff) {
   Controller& first = AddHost("h1", "a");
   Controller& second = AddHost("h2", "a");
@@ -171,7 +172,8 @@
   loop.RunFor(absl::Seconds(6));
   ASSERT_GE(engines.engines["a0"].weights["words"], 4);
   const std::int64_t held = engines.engines["a0"].weights["words"];
-  for (const std::pair<std::string, WeightsOrder>& it : engines.unanswered) engines.Carry(it.first, it.second);
+  for (const std::pair<std::string, WeightsOrder>& it : engines.unanswered)
+    engines.Carry(it.first, it.second);
   loop.RunFor(absl::Seconds(2));
   EXPECT_GE(engines.engines["a0"].weights["words"], held);
 }
