Remove batch jobs from the store after their retention time

Cause: nothing in the store expires on its own, and rows and objects of jobs stayed for good; objects are refused beyond 400 MB. Change: once a minute one host, chosen by a conditional write, removes ended or finished jobs five minutes after their acceptance, others after an hour; the lease row goes with the last rows.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -59,6 +59,7 @@
   kItemListed = 526,
   kCheckpointFailed = 527,
   kBatchRefused = 528,
+  kBatchRemoved = 529,
   kWeightsOrdered = 604,
   kRequestAnswered = 900,
   kRequestRefused = 901,
--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -133,6 +133,9 @@
   virtual void PutObject(const std::string& name, std::string bytes, StoreCallback done) = 0;
   // The bytes are the value of the only row; no row: no such object.
   virtual void GetObject(const std::string& name, StoreCallback done) = 0;
+  virtual void RemoveObject(const std::string& name, StoreCallback done) = 0;
+  // Rows that name the partitions of a table after `after`, in order; has_more: call again with the last one.
+  virtual void ListPartitions(const std::string& table, const std::string& after, StoreCallback done) = 0;
 };
 
 // ---- What is served ---------------------------------------------------------------------------------------
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -6,6 +6,7 @@
 //   ItemBody  returns the body of an item
 //   End       marks the job as ended; its owner stops within a renewal interval
 //   Tick      places items, renews leases, writes results; call it every few milliseconds while busy() holds
+//   Sweep     removes jobs whose retention time is over; call it about once a minute
 //   HandOver  writes the texts of running items and gives all leases up
 //
 // Owners never coordinate with each other: a write whose lease row has changed fails, and the owner drops the
@@ -43,6 +44,9 @@
   absl::Duration poll_every = absl::Milliseconds(200);         // store reads of a waiting reader
   absl::Duration silence_limit = absl::Milliseconds(2500);     // a run without a byte is broken off
   absl::Duration accept_patience = absl::Milliseconds(1500);   // of a submission while the store refuses
+  absl::Duration retention = absl::Minutes(5);                     // of an ended or finished job, from its acceptance
+  absl::Duration longest_retention = absl::Hours(1);               // of a job that nobody ended
+  absl::Duration sweep_every = absl::Minutes(1);                   // over all hosts
   std::size_t max_row_bytes = 60000;                           // of a row's value
   std::size_t max_commit_bytes = 500000;                       // of all values in one transaction
   std::size_t max_object_bytes = 4 << 20;                      //
@@ -63,6 +67,7 @@
   void ItemBody(const std::string& job, const std::string& item, BodyDone done);
   void End(const std::string& job, Done done);
   void Tick();
+  void Sweep();
   bool busy() const { return !jobs_.empty(); }
   // Accepts nothing and takes nothing over from now on.
   void StopAccepting() { accepting_ = false; }
@@ -97,6 +102,9 @@
   void SharePaces(Job& job);
   void LearnPaces(const std::string& service, std::function<void()> done);
   void ReadOnce(const std::shared_ptr<Reading>& reading);
+  void SweepPage(const std::string& after);
+  void SweepJobs(std::deque<std::string> jobs, std::function<void()> done);
+  void RemoveJob(const std::string& job, std::int64_t lease_version, std::function<void()> done);
 
   void Dispatch();
   bool PlaceItem(Job& job, Item& item);
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -452,6 +452,28 @@
   EXPECT_EQ(body.size(), 800000u);
 }
 
+// Guards against a store that fills up, and against the removal of a job that may still be read.
+TEST_F(BatchServiceTest, JobsAreRemovedAfterTheirRetention) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  ASSERT_EQ(SubmitNow(first, MakeJob(kJob, 120)), BatchOutcome::kAccepted);
+  BatchSubmission large = MakeJob("large", 12);
+  for (BatchItem& it : large.items) it.body = std::string(100000, 'x');
+  ASSERT_EQ(SubmitNow(first, large), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Minutes(2));
+  second.batches->Sweep();
+  loop.RunFor(absl::Seconds(5));
+  EXPECT_EQ(ReadNow(second, kJob).second.results.size(), 120u);
+  EXPECT_FALSE(store.objects.empty());
+  loop.RunFor(absl::Minutes(4));
+  first.batches->Sweep();
+  second.batches->Sweep();
+  loop.RunFor(absl::Seconds(5));
+  EXPECT_EQ(ReadNow(second, kJob).first, BatchOutcome::kNotFound);
+  EXPECT_TRUE(store.rows["batch/" + std::string(kJob)].empty());
+  EXPECT_TRUE(store.objects.empty());
+}
+
 TEST_F(BatchServiceTest, RefusesWhatContradictsItself) {
   TestHost& host = AddHost("h1");
   BatchSubmission twice = MakeJob(kJob, 2);
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -164,6 +164,35 @@
       std::move(done));
 }
 
+void StorePort::RemoveObject(const std::string& name, StoreCallback done) {
+  Answer(
+      kStoreDelay,
+      [this, name] {
+        StoreReply reply;
+        reply.outcome = StoreOutcome::kOk;
+        store_.objects.erase(name);
+        return reply;
+      },
+      std::move(done));
+}
+
+void StorePort::ListPartitions(const std::string& table, const std::string& after, StoreCallback done) {
+  Answer(
+      kStoreDelay,
+      [this, table, after] {
+        StoreReply reply;
+        reply.outcome = StoreOutcome::kOk;
+        for (const std::pair<const std::string, std::map<std::string, Row>>& it : store_.rows) {
+          if (!it.first.starts_with(table + "/") || it.second.empty()) continue;
+          Row row;
+          row.id.partition = it.first.substr(table.size() + 1);
+          if (row.id.partition > after) reply.rows.push_back(row);
+        }
+        return reply;
+      },
+      std::move(done));
+}
+
 // ---- Engines
 
 FakeEngine& FakeEngines::Add(const std::string& id, const std::string& service, const std::string& zone,
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -61,6 +61,8 @@
   void Watch(const std::string& table, std::int64_t after, absl::Duration wait, StoreCallback done) override;
   void PutObject(const std::string& name, std::string bytes, StoreCallback done) override;
   void GetObject(const std::string& name, StoreCallback done) override;
+  void RemoveObject(const std::string& name, StoreCallback done) override;
+  void ListPartitions(const std::string& table, const std::string& after, StoreCallback done) override;
 
   std::function<StoreFault(const Transaction&)> commit_fault;  // empty: none
   bool cut = false;                                            // no call arrives, none is answered
