Serve lookups of a cut-off zone from its own upstreams

Change: connections are given up after 150 ms, unreachable upstreams are avoided for longer, a host without the store prefers its zone.

--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -44,13 +44,13 @@
   absl::Duration poll_every = absl::Milliseconds(200);         // store reads of a waiting reader
   absl::Duration silence_limit = absl::Milliseconds(2500);     // a run without a byte is broken off
   absl::Duration accept_patience = absl::Milliseconds(1500);   // of a submission while the store refuses
-  absl::Duration retention = absl::Minutes(5);                     // of an ended or finished job, from its acceptance
-  absl::Duration longest_retention = absl::Hours(1);               // of a job that nobody ended
-  absl::Duration sweep_every = absl::Minutes(1);                   // over all hosts
-  std::size_t max_row_bytes = 60000;                           // of a row's value
-  std::size_t max_commit_bytes = 500000;                       // of all values in one transaction
-  std::size_t max_object_bytes = 4 << 20;                      //
-  std::size_t max_page_bytes = 900000;                         // results of one answer to a reader
+  absl::Duration retention = absl::Minutes(5);        // of an ended or finished job, from its acceptance
+  absl::Duration longest_retention = absl::Hours(1);  // of a job that nobody ended
+  absl::Duration sweep_every = absl::Minutes(1);      // over all hosts
+  std::size_t max_row_bytes = 60000;                  // of a row's value
+  std::size_t max_commit_bytes = 500000;              // of all values in one transaction
+  std::size_t max_object_bytes = 4 << 20;             //
+  std::size_t max_page_bytes = 900000;                // results of one answer to a reader
 };
 
 class BatchService {
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -15,9 +15,10 @@
 
 constexpr double kDefaultLatencyMs = 20;  // of an upstream not yet measured
 constexpr absl::Duration kLatencyMemory =
-    absl::Seconds(1);                // an old average returns to the mean of the others
-constexpr double kOtherZoneMs = 2;   // round trip to another zone
-constexpr double kHedgeShare = 0.4;  // of the objective
+    absl::Seconds(1);                  // an old average returns to the mean of the others
+constexpr double kOtherZoneMs = 2;     // round trip to another zone
+constexpr double kCutOffZoneMs = 1e3;  // an upstream of this zone is tried first, unless it is avoided
+constexpr double kHedgeShare = 0.4;    // of the objective
 constexpr absl::Duration kLoadMemory =
     absl::Milliseconds(800);                   // a report of others' work older than this is ignored
 constexpr double kLeastRetryAfter = 0.1;       // seconds
@@ -74,7 +75,7 @@
     const double latency = usual + (it->latency_ms - usual) * fresh;
     const double slots = std::max(1, it->entry.slots);
     double cost = std::max(1.0, latency) * (1 + EstimateRunning(*it, choice.now) / slots);
-    if (it->entry.zone != choice.zone) cost += kOtherZoneMs;
+    if (it->entry.zone != choice.zone) cost += choice.zone_alone ? kCutOffZoneMs : kOtherZoneMs;
     // An upstream that is being avoided is taken only if no other is left.
     if (choice.now < it->avoid_until) cost += 1e6 + absl::ToDoubleMilliseconds(it->avoid_until - choice.now);
     if (best == nullptr || cost < best_cost) {
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -16,6 +16,7 @@
 // ---- Unary calls ------------------------------------------------------------------------------------------
 
 struct UnaryChoice {
+  bool zone_alone = false;         // this host does not reach the store: other zones are probably cut off too
   std::string zone;                // of this host
   std::vector<std::string> tried;  // upstreams that already had this request
   absl::Time now;                  //
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -16,6 +16,8 @@
 constexpr absl::Duration kRefusedPause =
     absl::Milliseconds(60);  // an upstream that says it is full, before it gets more
 
+constexpr absl::Duration kUnreachablePause = absl::Seconds(1);  // an upstream that takes no connection
+
 // The service of a split route, chosen by the request's id, so that a repeated choice is the same.
 std::string ChooseService(const Route& route, const std::string& id) {
   double total = 0;
@@ -104,9 +106,18 @@
   Close(exchange, {});
 }
 
+UnaryChoice Frontend::MakeChoice(const Exchange& exchange) const {
+  UnaryChoice choice;
+  choice.zone_alone = zone_alone_;
+  choice.zone = zone_;
+  choice.tried = exchange.tried;
+  choice.now = loop_.Now();
+  return choice;
+}
+
 void Frontend::Launch(Exchange& exchange) {
   const absl::Time now = loop_.Now();
-  UpstreamState* upstream = PickUnary(directory_.Usable(exchange.service), {zone_, exchange.tried, now});
+  UpstreamState* upstream = PickUnary(directory_.Usable(exchange.service), MakeChoice(exchange));
   if (upstream == nullptr) {
     if (exchange.attempts.empty()) RetryOrFail(exchange, ErrorKind::kNoUpstream);
     return;
@@ -189,7 +200,11 @@
     RetryOrFail(exchange, ErrorKind::kUpstreamRefused);
     return;
   }
-  if (upstream != nullptr) ObserveFailure(*upstream, now);
+  if (upstream != nullptr) {
+    ObserveFailure(*upstream, now);
+    if (end == CallEnd::kNotSent)
+      upstream->avoid_until = std::max(upstream->avoid_until, now + kUnreachablePause);
+  }
   if (end != CallEnd::kNotSent) ++exchange.may_have_run;
   RetryOrFail(exchange, end == CallEnd::kTimedOut ? ErrorKind::kUpstreamTimeout : ErrorKind::kUpstreamFailed);
 }
@@ -198,8 +213,7 @@
 void Frontend::RetryOrFail(Exchange& exchange, ErrorKind reason) {
   const bool repeatable = exchange.route.kind == RouteKind::kIdempotent || exchange.may_have_run == 0;
   const int counted = exchange.may_have_run + static_cast<int>(exchange.attempts.size());
-  const bool upstream_left =
-      PickUnary(directory_.Usable(exchange.service), {zone_, exchange.tried, loop_.Now()}) != nullptr;
+  const bool upstream_left = PickUnary(directory_.Usable(exchange.service), MakeChoice(exchange)) != nullptr;
   if (repeatable && counted < std::max(1, exchange.route.max_attempts) && upstream_left &&
       loop_.Now() < exchange.end) {
     Launch(exchange);
@@ -278,7 +292,12 @@
   for (const std::pair<const CallId, Attempt>& it : exchange.attempts) {
     link_.Cancel(it.first);
     UpstreamState* upstream = directory_.Find(it.second.upstream);
-    if (upstream != nullptr) --upstream->in_flight;
+    if (upstream == nullptr) continue;
+    --upstream->in_flight;
+    // It has lost to a later attempt without a sign of life: unreachable, stalled, or just slow this once.
+    const bool stalled = it.second.head.status == 0 &&
+                         loop_.Now() - it.second.started >= HedgeAfter(exchange.route.objective);
+    if (stalled) ObserveFailure(*upstream, loop_.Now());
   }
   AnswerCallback answer = std::move(exchange.answer);
   exchanges_.erase(exchange.id);
--- a/src/serving/frontend.h
+++ b/src/serving/frontend.h
@@ -11,6 +11,7 @@
 #include "absl/time/time.h"
 #include "oleander/errors.h"
 #include "oleander/serving.h"
+#include "serving/decisions.h"
 #include "serving/directory.h"
 
 namespace oleander::serving {
@@ -35,11 +36,14 @@
   FrontendId Handle(CallerRequest request, const Route& route, AnswerCallback answer);
   // The caller has left: upstreams stop working for it.
   void Abandon(FrontendId id);
+  // While this host does not reach the store, upstreams of its own zone come first.
+  void SetZoneAlone(bool alone) { zone_alone_ = alone; }
   int open_requests() const { return static_cast<int>(exchanges_.size()); }
 
  private:
   struct Attempt;
   struct Exchange;
+  UnaryChoice MakeChoice(const Exchange& exchange) const;
   void Launch(Exchange& exchange);
   void OnAttemptEnd(FrontendId id, CallId call, CallEnd end);
   void OnTimeUp(FrontendId id);
@@ -53,6 +57,7 @@
   UpstreamLink& link_;
   Directory& directory_;
   std::string zone_;
+  bool zone_alone_ = false;
   FrontendId next_ = 1;
   std::map<FrontendId, std::unique_ptr<Exchange>> exchanges_;
 };
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -17,7 +17,7 @@
 namespace oleander::serving {
 
 struct HttpClientLimits {
-  absl::Duration connect_timeout = absl::Milliseconds(400);  // links take single milliseconds
+  absl::Duration connect_timeout = absl::Milliseconds(150);  // links take single milliseconds
   absl::Duration max_idle = absl::Seconds(8);                // kept connections without a call
   int max_idle_per_address = 64;                             // connections
 };
--- a/tests/frontend_test.cc
+++ b/tests/frontend_test.cc
@@ -240,6 +240,42 @@
   for (const UpstreamState* it : directory.Usable("lookups")) EXPECT_EQ(it->in_flight, 0);
 }
 
+// Replays a zone that is cut off (incident of 4 December): connections to other zones hang, and lookups lost
+// 150 ms and more on each before they came to the upstream next door.
+TEST_F(FrontendTest, AZoneThatIsCutOffUsesItsOwnUpstreams) {
+  for (const char* id : {"u2", "u3"}) {
+    UpstreamEntry other = directory.Find(id)->entry;
+    other.zone = "b";
+    directory.ApplyUpstream(other);
+    ScriptedLink::Script unreachable;
+    unreachable.delay = absl::Milliseconds(150);
+    unreachable.end = CallEnd::kNotSent;
+    unreachable.body.clear();
+    link.scripts[id].assign(20, unreachable);
+  }
+  // The upstream of this zone has been the slowest so far.
+  for (int it = 0; it < 10; ++it) ObserveLatency(*directory.Find("u1"), absl::Milliseconds(60), loop.Now());
+  for (const char* id : {"u2", "u3"}) ObserveLatency(*directory.Find(id), absl::Milliseconds(20), loop.Now());
+  frontend.SetZoneAlone(true);
+  Ask();
+  loop.RunFor(absl::Milliseconds(40));
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].status, 200);
+  // Before the cut is noticed, an unreachable upstream is left alone for longer after each try: of the 16 tries that
+  // eight requests would make at two of them, half at most.
+  frontend.SetZoneAlone(false);
+  for (int it = 0; it < 8; ++it) {
+    Ask();
+    loop.RunFor(absl::Milliseconds(400));
+  }
+  EXPECT_EQ(answers.size(), 9u);
+  int unreachable = 0;
+  for (const std::pair<const CallId, ScriptedLink::Sent>& it : link.sent) {
+    unreachable += it.second.call.expected_id == "u1" ? 0 : 1;
+  }
+  EXPECT_LE(unreachable, 8);
+}
+
 // Guards against callers that wait past the route's timeout.
 TEST_F(FrontendTest, TheTimeoutOfTheRouteIsKept) {
   route.timeout = absl::Milliseconds(400);
@@ -313,9 +349,9 @@
     for (int n = 0; n < 20; ++n) ObserveLatency(states[it], absl::Milliseconds(it == 0 ? 200 : 20), now);
     usable.push_back(&states[it]);
   }
-  EXPECT_NE(PickUnary(usable, {"", {}, now})->entry.id, "u0");
+  EXPECT_NE(PickUnary(usable, {false, "", {}, now})->entry.id, "u0");
   for (UpstreamState& it : states) it.in_flight = it.entry.id == "u0" ? 0 : 2;
-  EXPECT_EQ(PickUnary(usable, {"", {}, now + absl::Seconds(20)})->entry.id, "u0");
+  EXPECT_EQ(PickUnary(usable, {false, "", {}, now + absl::Seconds(20)})->entry.id, "u0");
 }
 
 // Replays refusals of many callers at once: they must not return together.
