--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -295,8 +295,8 @@
     if (upstream == nullptr) continue;
     --upstream->in_flight;
     // It has lost to a later attempt without a sign of life: unreachable, stalled, or just slow this once.
-    const bool stalled = it.second.head.status == 0 &&
-                         loop_.Now() - it.second.started >= HedgeAfter(exchange.route.objective);
+    const bool stalled =
+        it.second.head.status == 0 && loop_.Now() - it.second.started >= HedgeAfter(exchange.route.objective);
     if (stalled) ObserveFailure(*upstream, loop_.Now());
   }
   AnswerCallback answer = std::move(exchange.answer);
--- a/tests/frontend_test.cc
+++ b/tests/frontend_test.cc
@@ -261,8 +261,8 @@
   loop.RunFor(absl::Milliseconds(40));
   ASSERT_EQ(answers.size(), 1u);
   EXPECT_EQ(answers[0].status, 200);
-  // Before the cut is noticed, an unreachable upstream is left alone for longer after each try: of the 16 tries that
-  // eight requests would make at two of them, half at most.
+  // Before the cut is noticed, an unreachable upstream is left alone for longer after each try: of the 16
+  // tries that eight requests would make at two of them, half at most.
   frontend.SetZoneAlone(false);
   for (int it = 0; it < 8; ++it) {
     Ask();
