--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -4,6 +4,7 @@
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -14,7 +15,6 @@
 #include <mutex>
 #include <utility>
 
-#include "absl/time/clock.h"
 #include "absl/time/time.h"
 
 namespace oleander {
@@ -153,10 +153,18 @@
 
 namespace {
 
+// Asked from the system each time: absl::Now extrapolates from the cycle counter between its own readings,
+// and ran up to 13 s off where the time of day is not the machine's own.
+absl::Time WallTime() {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  return absl::TimeFromTimespec(now);
+}
+
 // Returns how many lines of this kind were left out before this one, or -1 if it is to be left out too.
 std::int64_t TakeLine(LogState& state, LogEvent event) {
   LineBudget& budget = state.budgets[event];
-  const std::int64_t second = absl::ToUnixSeconds(absl::Now());
+  const std::int64_t second = absl::ToUnixSeconds(WallTime());
   if (budget.since != second) {
     budget.since = second;
     budget.written = 0;
@@ -185,7 +193,7 @@
     left_out = TakeLine(state, event);
     if (left_out < 0) return;
   }
-  Json line = {{"time", absl::FormatTime(absl::RFC3339_full, absl::Now(), absl::UTCTimeZone())},
+  Json line = {{"time", absl::FormatTime(absl::RFC3339_full, WallTime(), absl::UTCTimeZone())},
                {"level", std::string(spdlog::level::to_string_view(SpdlogLevel(level)).data())},
                {"event", static_cast<int>(event)},
                {"name", NameOf(event)},
