--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -250,17 +250,22 @@
   dispatching_ = false;
 }
 
-// False: no upstream has room for any item of this job.
-bool BatchService::PlaceItem(Job& job, Item& item) {
-  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
-  if (route == nullptr || route->services.empty()) return false;
+ItemChoice BatchService::MakeChoice(const Job& job, const Item& item, const Route& route) const {
   ItemChoice choice;
   choice.model = job.submission.model;
   choice.min_version = job.submission.min_version;
-  if (route->single_version && !item.versions.empty()) choice.exact_version = *item.versions.begin();
+  if (route.single_version && !item.versions.empty()) choice.exact_version = *item.versions.begin();
   choice.zone = settings_.zone;
-  choice.avoided = item.avoided;
   choice.now = loop_.Now();
+  return choice;
+}
+
+// False: no upstream has room for any item of this job.
+bool BatchService::PlaceItem(Job& job, Item& item) {
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  if (route == nullptr || route->services.empty()) return false;
+  ItemChoice choice = MakeChoice(job, item, *route);
+  choice.avoided = item.avoided;
   const auto group = job.group_upstream.find(item.spec.group);
   if (group != job.group_upstream.end()) choice.preferred = group->second;
   const std::vector<UpstreamState*> usable = directory_.Usable(route->services.front().service);
@@ -516,13 +521,8 @@
   bool moved = false;
   for (Item& it : job.items) {
     if (it.phase != Phase::kRunning || now - it.started < kLeastRunBeforeMove) continue;
-    ItemChoice choice;
-    choice.model = job.submission.model;
-    choice.min_version = job.submission.min_version;
-    if (route->single_version && !it.versions.empty()) choice.exact_version = *it.versions.begin();
-    choice.zone = settings_.zone;
+    ItemChoice choice = MakeChoice(job, it, *route);
     choice.avoided = it.upstream;
-    choice.now = now;
     UpstreamState* const other = PickForItem(usable, choice);
     if (other == nullptr || other->entry.id == it.upstream) continue;
     const UpstreamState* const upstream = directory_.Find(it.upstream);
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -107,6 +107,7 @@
   void RemoveJob(const std::string& job, std::int64_t lease_version, std::function<void()> done);
 
   void Dispatch();
+  ItemChoice MakeChoice(const Job& job, const Item& item, const Route& route) const;
   bool PlaceItem(Job& job, Item& item);
   void StartRun(Job& job, Item& item, UpstreamState& upstream);
   void OnRunHead(const std::string& job, std::size_t item, std::uint64_t run, const AnswerHead& head);
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -1,7 +1,6 @@
 #include "serving/directory.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "serving/text.h"
@@ -36,20 +35,6 @@
   return best;
 }
 
-const Route* Directory::FindRouteByName(std::string_view name) const {
-  for (const Route& it : policy_.routes) {
-    if (it.name == name) return &it;
-  }
-  return nullptr;
-}
-
-const ServiceSpec* Directory::FindService(std::string_view name) const {
-  for (const ServiceSpec& it : policy_.services) {
-    if (it.name == name) return &it;
-  }
-  return nullptr;
-}
-
 void Directory::ApplyUpstream(const UpstreamEntry& entry) {
   UpstreamState& state = upstreams_[entry.id];
   // A new start under an old id knows nothing of before; calls in progress keep their count.
@@ -76,17 +61,6 @@
   if (it->second.removal_due <= now) it->second.listed = false;
 }
 
-void Directory::ApplyList(const std::vector<UpstreamEntry>& entries, absl::Time now, absl::Time due) {
-  std::set<std::string> present;
-  for (const UpstreamEntry& it : entries) {
-    present.insert(it.id);
-    ApplyUpstream(it);
-  }
-  for (std::pair<const std::string, UpstreamState>& it : upstreams_) {
-    if (!present.contains(it.first)) RemoveUpstream(it.first, now, due);
-  }
-}
-
 void Directory::Expire(absl::Time now) {
   for (auto it = upstreams_.begin(); it != upstreams_.end();) {
     if (it->second.removal_due <= now) it->second.listed = false;
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -43,22 +43,17 @@
   const Policy& policy() const { return policy_; }
   // The route with the longest prefix that begins the path of `target`; nullptr: none.
   const Route* FindRoute(std::string_view host, std::string_view target) const;
-  const Route* FindRouteByName(std::string_view name) const;
-  const ServiceSpec* FindService(std::string_view name) const;
 
   // Adds or changes one upstream.
   void ApplyUpstream(const UpstreamEntry& entry);
   // Takes an upstream off the list, at once or at `due`.
   void RemoveUpstream(const std::string& id, absl::Time now, absl::Time due);
-  // Replaces the whole list; upstreams that are missing in it are removed at `due`.
-  void ApplyList(const std::vector<UpstreamEntry>& entries, absl::Time now, absl::Time due);
   // Carries out removals that are due and forgets unused upstreams. Call it a few times a second.
   void Expire(absl::Time now);
 
   UpstreamState* Find(const std::string& id);
   // Upstreams of a service that may get new work, in the order of their ids.
   std::vector<UpstreamState*> Usable(std::string_view service);
-  std::size_t upstream_count() const { return upstreams_.size(); }
 
   // Newest version that each trainer has named.
   void NameVersion(const std::string& model, std::int64_t version);
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -18,8 +18,8 @@
 
 struct HttpClientLimits {
   absl::Duration connect_timeout = absl::Milliseconds(150);  // links take single milliseconds
-  absl::Duration max_idle = absl::Seconds(8);                // kept connections without a call
-  int max_idle_per_address = 64;                             // connections
+  absl::Duration max_idle = absl::Seconds(30);  // kept connections without a call; upstreams state less
+  int max_idle_per_address = 64;                // connections
 };
 
 struct HttpCall {
--- a/src/serving/http_server.h
+++ b/src/serving/http_server.h
@@ -35,7 +35,6 @@
   // Stops listening and closes connections on which no request is being answered or read.
   void StopAccepting();
   int open_exchanges() const { return static_cast<int>(exchanges_.size()); }
-  int connections() const { return static_cast<int>(connections_.size()); }
 
  private:
   struct Connection;
