Name functions as the linter expects

Cause: the linter wants functions in CamelCase, constants at file scope, and found a length beyond a literal in a test. Change: names; one unused capture.

--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -545,7 +545,7 @@
 
 void BatchService::GiveUpLate(Job& job) {
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
-  const bool route_gone = route == nullptr && directory_.policy().version > 0;
+  const bool route_gone = route == nullptr && directory_.PolicyInForce().version > 0;
   const bool late = route != nullptr && StoreNow() - job.lease.accepted_at >= route->keep;
   if (!route_gone && !late) return;
   for (Item& it : job.items) {
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -43,13 +43,13 @@
     : loop_(loop), store_(store), link_(link), directory_(directory), settings_(std::move(settings)) {}
 BatchService::~BatchService() = default;
 
-int BatchService::running_items() const {
+int BatchService::RunningItems() const {
   int n = 0;
   for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) n += it.second->running;
   return n;
 }
 
-int BatchService::waiting_items() const {
+int BatchService::WaitingItems() const {
   int n = 0;
   for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_)
     n += static_cast<int>(it.second->waiting.size());
@@ -78,7 +78,7 @@
 void BatchService::Submit(BatchSubmission submission, Done done) {
   const Route* route = directory_.FindRoute(submission.host, submission.path);
   if (route == nullptr || route->kind != RouteKind::kRollout) {
-    done(directory_.policy().version == 0 ? BatchOutcome::kNotRun : BatchOutcome::kNoRoute);
+    done(directory_.PolicyInForce().version == 0 ? BatchOutcome::kNotRun : BatchOutcome::kNoRoute);
     return;
   }
   std::set<std::string> ids;
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -5,7 +5,7 @@
 //   Read      returns results from a position on; finds a lease that has run out and takes the job over
 //   ItemBody  returns the body of an item
 //   End       marks the job as ended; its owner stops within a renewal interval
-//   Tick      places items, renews leases, writes results; call it every few milliseconds while busy() holds
+//   Tick      places items, renews leases, writes results; call it every few milliseconds while Busy() holds
 //   Sweep     removes jobs whose retention time is over; call it about once a minute
 //   HandOver  writes the texts of running items and gives all leases up
 //
@@ -68,14 +68,14 @@
   void End(const std::string& job, Done done);
   void Tick();
   void Sweep();
-  bool busy() const { return !jobs_.empty(); }
+  bool Busy() const { return !jobs_.empty(); }
   // Accepts nothing and takes nothing over from now on.
   void StopAccepting() { accepting_ = false; }
   void HandOver(std::function<void()> done);
 
-  int owned_jobs() const { return static_cast<int>(jobs_.size()); }
-  int running_items() const;
-  int waiting_items() const;
+  int OwnedJobs() const { return static_cast<int>(jobs_.size()); }
+  int RunningItems() const;
+  int WaitingItems() const;
 
  private:
   enum class Phase { kWaiting, kRunning, kListed };
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -40,7 +40,7 @@
  public:
   // Returns false if the version is not newer than the one in force; nothing is changed then.
   bool ApplyPolicy(Policy policy);
-  const Policy& policy() const { return policy_; }
+  const Policy& PolicyInForce() const { return policy_; }
   // The route with the longest prefix that begins the path of `target`; nullptr: none.
   const Route* FindRoute(std::string_view host, std::string_view target) const;
 
@@ -57,7 +57,7 @@
 
   // Newest version that each trainer has named.
   void NameVersion(const std::string& model, std::int64_t version);
-  const std::map<std::string, std::int64_t>& named_versions() const { return named_versions_; }
+  const std::map<std::string, std::int64_t>& NamedVersions() const { return named_versions_; }
 
  private:
   Policy policy_;
--- a/src/serving/event_loop.h
+++ b/src/serving/event_loop.h
@@ -20,7 +20,7 @@
   TimerId After(absl::Duration delay, std::function<void()> fn) override;
   void Cancel(TimerId id) override;
 
-  asio::io_context& context() { return context_; }
+  asio::io_context& Context() { return context_; }
   void Run() { context_.run(); }
   void Stop() { context_.stop(); }
 
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -279,7 +279,7 @@
                 {"attempts", exchange.tried.size()},
                 {"may_have_run", exchange.may_have_run},
                 {"usable", directory_.Usable(exchange.service).size()},
-                {"policy", directory_.policy().version},
+                {"policy", directory_.PolicyInForce().version},
                 {"ms", absl::ToInt64Milliseconds(loop_.Now() - exchange.started)}});
   std::optional<double> retry_after;
   if (row.not_run) retry_after = RetryAfterSeconds(exchange.end - loop_.Now(), exchange.request.id);
--- a/src/serving/frontend.h
+++ b/src/serving/frontend.h
@@ -38,7 +38,7 @@
   void Abandon(FrontendId id);
   // While this host does not reach the store, upstreams of its own zone come first.
   void SetZoneAlone(bool alone) { zone_alone_ = alone; }
-  int open_requests() const { return static_cast<int>(exchanges_.size()); }
+  int OpenRequests() const { return static_cast<int>(exchanges_.size()); }
 
  private:
   struct Attempt;
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -21,6 +21,7 @@
 
 namespace {
 
+constexpr std::string_view kIdleTimeoutField = "timeout=";  // of a Keep-Alive header
 constexpr std::size_t kReadBytes =
     8 << 10;  // asked for in one read; the library's default of 512 splits each event
 constexpr std::uint32_t kMaxAnswerHeaderBytes = 64 << 10;
@@ -28,10 +29,9 @@
 
 // The idle timeout that the peer states in Keep-Alive, or `fallback`.
 absl::Duration StatedIdleTimeout(std::string_view keep_alive, absl::Duration fallback) {
-  constexpr std::string_view kTimeout = "timeout=";
   for (const std::string_view part : SplitText(keep_alive, ",; ")) {
     int seconds = 0;
-    if (part.starts_with(kTimeout) && ParseInteger(part.substr(kTimeout.size()), &seconds))
+    if (part.starts_with(kIdleTimeoutField) && ParseInteger(part.substr(kIdleTimeoutField.size()), &seconds))
       return absl::Seconds(seconds);
   }
   return fallback;
@@ -78,7 +78,7 @@
   ++counts_.calls;
   ConnectionPtr connection = call.fresh_connection ? nullptr : TakeIdle(call.address);
   if (connection == nullptr) {
-    connection = std::make_shared<Connection>(loop_.context());
+    connection = std::make_shared<Connection>(loop_.Context());
     connection->address = call.address;
   }
   connection->call = id;
@@ -192,7 +192,7 @@
   const CallId id = connection->call;
   connection->write_started = true;
   http::async_write(connection->socket, connection->outbound,
-                    [this, connection, id](boost::system::error_code ec, std::size_t) {
+                    [connection, id](boost::system::error_code ec, std::size_t) {
                       if (connection->call != id) return;
                       connection->write_done = !ec;  // a failure shows at the reader
                       connection->outbound.body().clear();
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -48,7 +48,7 @@
   void Cancel(CallId id);
   // Closes kept connections that have been idle for too long.
   void CloseIdle();
-  const HttpClientCounts& counts() const { return counts_; }
+  const HttpClientCounts& Counts() const { return counts_; }
 
  private:
   struct Connection;
--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -40,7 +40,7 @@
 };
 
 HttpServer::HttpServer(EventLoop& loop, RequestHandler on_request)
-    : loop_(loop), on_request_(std::move(on_request)), acceptor_(loop.context()) {}
+    : loop_(loop), on_request_(std::move(on_request)), acceptor_(loop.Context()) {}
 HttpServer::~HttpServer() = default;
 
 bool HttpServer::Listen(const std::string& address) {
--- a/src/serving/http_server.h
+++ b/src/serving/http_server.h
@@ -34,7 +34,7 @@
   void CloseAfterAnswers() { closing_ = true; }
   // Stops listening and closes connections on which no request is being answered or read.
   void StopAccepting();
-  int open_exchanges() const { return static_cast<int>(exchanges_.size()); }
+  int OpenExchanges() const { return static_cast<int>(exchanges_.size()); }
 
  private:
   struct Connection;
--- a/src/serving/weights_control.cc
+++ b/src/serving/weights_control.cc
@@ -26,7 +26,7 @@
                                WeightsSettings settings)
     : loop_(loop), store_(store), link_(link), directory_(directory), settings_(std::move(settings)) {}
 
-bool WeightsControl::holds(const std::string& service, const std::string& zone) const {
+bool WeightsControl::Holds(const std::string& service, const std::string& zone) const {
   const auto it = services_.find(service);
   if (it == services_.end()) return false;
   const auto lease = it->second.leases.find(zone);
@@ -48,7 +48,7 @@
 void WeightsControl::Tick() {
   if (released_) return;
   const absl::Time now = loop_.Now();
-  for (const ServiceSpec& spec : directory_.policy().services) {
+  for (const ServiceSpec& spec : directory_.PolicyInForce().services) {
     if (spec.models.empty()) continue;
     Service& service = services_[spec.name];
     for (const UpstreamState* it : directory_.Usable(spec.name)) service.leases.try_emplace(it->entry.zone);
@@ -223,7 +223,7 @@
     }
     engines.push_back(engine.weights);
   }
-  const std::map<std::string, std::int64_t>& named = directory_.named_versions();
+  const std::map<std::string, std::int64_t>& named = directory_.NamedVersions();
   int mine = 0;
   for (const EngineWeights& it : engines) mine += it.mine ? 1 : 0;
   const int most = MostLoadsAtOnce(mine);
--- a/src/serving/weights_control.h
+++ b/src/serving/weights_control.h
@@ -45,7 +45,7 @@
   void Tick();
   // Stops ordering and lets another host begin after the gap.
   void Release();
-  bool holds(const std::string& service, const std::string& zone) const;
+  bool Holds(const std::string& service, const std::string& zone) const;
 
  private:
   struct Engine {
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -214,8 +214,8 @@
   for (int it = 0; it < 4; ++it) ReadNow(second, kJob);
   first.store.cut = second.store.cut = false;
   for (int it = 0; it < 4; ++it) ReadNow(second, kJob);
-  EXPECT_EQ(first.batches->owned_jobs() + second.batches->owned_jobs(), 1);
-  EXPECT_EQ(first.batches->owned_jobs(), 1);
+  EXPECT_EQ(first.batches->OwnedJobs() + second.batches->OwnedJobs(), 1);
+  EXPECT_EQ(first.batches->OwnedJobs(), 1);
   loop.RunFor(absl::Seconds(8));
   ExpectWhole(ReadNow(second, kJob).second, 8);
   EXPECT_EQ(engines.runs.size(), 8u);
@@ -231,11 +231,11 @@
   first.paused = true;
   first.store.cut = true;
   for (int it = 0; it < 4; ++it) ReadNow(second, kJob);
-  ASSERT_EQ(second.batches->owned_jobs(), 1);
+  ASSERT_EQ(second.batches->OwnedJobs(), 1);
   first.paused = false;
   first.store.cut = false;
   loop.RunFor(absl::Seconds(2));
-  EXPECT_EQ(first.batches->owned_jobs(), 0);
+  EXPECT_EQ(first.batches->OwnedJobs(), 0);
   loop.RunFor(absl::Seconds(15));
   ExpectWhole(ReadNow(second, kJob).second, 20);
 }
@@ -286,7 +286,7 @@
   const absl::Time acknowledged = loop.Now();
   loop.RunFor(absl::Seconds(10));
   for (const fakes::RunRecord& it : engines.runs) EXPECT_LT(it.at, acknowledged + absl::Seconds(1));
-  EXPECT_EQ(first.batches->owned_jobs(), 0);
+  EXPECT_EQ(first.batches->OwnedJobs(), 0);
   second.batches->End(kJob, [&ended](BatchOutcome outcome) { ended = outcome; });
   loop.RunFor(absl::Milliseconds(20));
   EXPECT_EQ(ended.value(), BatchOutcome::kOk);
@@ -381,7 +381,7 @@
   first.batches->HandOver([&handed_over] { handed_over = true; });
   loop.RunFor(absl::Milliseconds(100));
   EXPECT_TRUE(handed_over);
-  EXPECT_EQ(first.batches->owned_jobs(), 0);
+  EXPECT_EQ(first.batches->OwnedJobs(), 0);
   engines.runs.clear();
   ReadNow(second, kJob);
   loop.RunFor(absl::Seconds(3));
--- a/tests/frontend_test.cc
+++ b/tests/frontend_test.cc
@@ -88,7 +88,7 @@
       entry.started_ms = 1;
       directory.ApplyUpstream(entry);
     }
-    route = directory.policy().routes[1];
+    route = directory.PolicyInForce().routes[1];
   }
   FrontendId Ask(absl::Duration deadline = absl::Milliseconds(1500)) {
     CallerRequest request;
@@ -236,7 +236,7 @@
   for (const std::pair<const CallId, ScriptedLink::Sent>& it : link.sent) EXPECT_TRUE(it.second.cancelled);
   loop.RunFor(absl::Seconds(3));
   EXPECT_TRUE(answers.empty());
-  EXPECT_EQ(frontend.open_requests(), 0);
+  EXPECT_EQ(frontend.OpenRequests(), 0);
   for (const UpstreamState* it : directory.Usable("lookups")) EXPECT_EQ(it->in_flight, 0);
 }
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -140,7 +140,7 @@
 }
 
 TEST(Wire, EscapesQueries) {
-  const std::string odd("a b/%\x00\xff&=+", 11);
+  const std::string odd("a b/%\x00\xff&=+", 10);
   EXPECT_EQ(UnescapeQuery(EscapeQuery(odd)), odd);
   EXPECT_EQ(QueryValue("/x?a=1&after=12", "after"), "12");
   EXPECT_EQ(QueryValue("/x", "after"), "");
@@ -255,15 +255,15 @@
   Put("servers", "i-2", "not readable");
   feed.Start();
   loop.RunFor(absl::Seconds(1));
-  EXPECT_TRUE(feed.complete());
-  EXPECT_EQ(directory.policy().version, 7);
+  EXPECT_TRUE(feed.Complete());
+  EXPECT_EQ(directory.PolicyInForce().version, 7);
   EXPECT_EQ(directory.Usable("s2").size(), 1u);
   Put("op", "config", "broken {");
   Put("op", "version/m1", R"({"model":"m1","version":9})");
   Drop("servers", "i-1");
   loop.RunFor(absl::Seconds(2));
-  EXPECT_EQ(directory.policy().version, 7);
-  EXPECT_EQ(directory.named_versions().at("m1"), 9);
+  EXPECT_EQ(directory.PolicyInForce().version, 7);
+  EXPECT_EQ(directory.NamedVersions().at("m1"), 9);
   EXPECT_TRUE(directory.Usable("s2").empty());
 }
 
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -135,7 +135,7 @@
                  std::function<void(OrderOutcome)> done) override;
   // The host dies: its connections close and nothing is delivered any more.
   void Kill();
-  int open_calls() const { return static_cast<int>(calls_.size()); }
+  int OpenCalls() const { return static_cast<int>(calls_.size()); }
 
  private:
   struct Call {
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -40,7 +40,7 @@
     wake.connect(acceptor.local_endpoint(), ignored);
     thread.join();
   }
-  std::string address() const { return absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port()); }
+  std::string Address() const { return absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port()); }
 
   asio::io_context context;
   std::atomic<bool> stopped{false};
@@ -93,7 +93,7 @@
     return result;
   }
   void Run() {
-    loop.context().restart();
+    loop.Context().restart();
     loop.Run();
   }
   EventLoop loop;
@@ -113,7 +113,7 @@
   });
   on_piece = [&seen] { seen = true; };
   loop.After(kLongestTest / 2, [&seen] { seen = true; });
-  const std::shared_ptr<Result> result = Call(server.address());
+  const std::shared_ptr<Result> result = Call(server.Address());
   Run();
   EXPECT_EQ(result->end, CallEnd::kComplete);
   ASSERT_GE(result->pieces.size(), 2u);
@@ -130,7 +130,7 @@
       ReadHead(socket);
       WriteText(socket, answer);
     });
-    const std::shared_ptr<Result> result = Call(server.address());
+    const std::shared_ptr<Result> result = Call(server.Address());
     Run();
     EXPECT_EQ(result->end, CallEnd::kBroken) << answer;
   }
@@ -145,7 +145,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil");
   });
   for (int it = 0; it < 2; ++it) {
-    const std::shared_ptr<Result> result = Call(server.address());
+    const std::shared_ptr<Result> result = Call(server.Address());
     Run();
     EXPECT_EQ(result->body, "ok");
   }
@@ -158,10 +158,10 @@
     ReadHead(socket);
     WriteText(socket, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
   });
-  const std::shared_ptr<Result> first = Call(server.address(), std::string(32 << 20, 'x'));
+  const std::shared_ptr<Result> first = Call(server.Address(), std::string(32 << 20, 'x'));
   Run();
   EXPECT_EQ(first->status, 413);
-  const std::shared_ptr<Result> second = Call(server.address());
+  const std::shared_ptr<Result> second = Call(server.Address());
   Run();
   EXPECT_EQ(second->status, 413);
   EXPECT_EQ(server.accepted, 2);
@@ -172,7 +172,7 @@
     ReadHead(socket);
     ReadHead(socket);
   });
-  const std::shared_ptr<Result> silent = Call(server.address(), "", absl::Milliseconds(100));
+  const std::shared_ptr<Result> silent = Call(server.Address(), "", absl::Milliseconds(100));
   Run();
   EXPECT_EQ(silent->end, CallEnd::kTimedOut);
   const std::shared_ptr<Result> refused = Call("127.0.0.1:1");
@@ -195,7 +195,7 @@
     Run();
     EXPECT_EQ(result->body, absl::StrCat("body", it));
   }
-  EXPECT_EQ(client.counts().connections, 1);
+  EXPECT_EQ(client.Counts().connections, 1);
 }
 
 // Guards against requests over the limits that are read or passed on.
@@ -256,7 +256,7 @@
   Run();
   caller.join();
   EXPECT_TRUE(left);
-  EXPECT_EQ(server.open_exchanges(), 0);
+  EXPECT_EQ(server.OpenExchanges(), 0);
 }
 
 // Guards against a shutdown that cuts an answer off.
--- a/tests/weights_control_test.cc
+++ b/tests/weights_control_test.cc
@@ -115,7 +115,7 @@
   loop.RunFor(absl::Seconds(1));
   Name(2);
   loop.RunFor(absl::Seconds(2));
-  ASSERT_TRUE(first.control->holds("engines", "a"));
+  ASSERT_TRUE(first.control->Holds("engines", "a"));
   for (int round = 0; round < 4; ++round) {
     first.paused = true;
     loop.RunFor(absl::Milliseconds(700 + 900 * round));
@@ -136,11 +136,11 @@
   loop.RunFor(absl::Seconds(1));
   Name(2);
   loop.RunFor(absl::Seconds(3));
-  ASSERT_TRUE(first.control->holds("engines", "a"));
+  ASSERT_TRUE(first.control->Holds("engines", "a"));
   first.store.cut = true;
   Name(3);
   loop.RunFor(absl::Seconds(8));
-  EXPECT_TRUE(second.control->holds("engines", "a"));
+  EXPECT_TRUE(second.control->Holds("engines", "a"));
   EXPECT_EQ(Holding(2), 8);
   ExpectOneHolder();
 }
