--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -324,7 +324,7 @@
   item.call = link_.Start(std::move(call), std::move(handlers));
 }
 
-// Ends the run's part of the books; its call is over or is cancelled by the caller.
+// Cancels the run's call and takes it out of the counts of the job and its upstream.
 void BatchService::StopRun(Job& job, Item& item) {
   if (item.phase != Phase::kRunning) return;
   link_.Cancel(item.call);
