Collect whole answers in one place; drop state that nobody reads

Cause: reading the change again: the store client and the engine link each collected status and body of an answer; LearnPaces took a callback that was always empty; Job::unlisted was counted and never read; AnswerCallback was Responder under another name; the settings header said that a reload changes log_level, which it does not, and not that it changes shutdown_grace. Behaviour is the same.

--- a/include/oleander/entry_settings.h
+++ b/include/oleander/entry_settings.h
@@ -21,9 +21,9 @@
   std::int64_t max_object_bytes = 8 << 20;            // of one object in the store
   std::int64_t memory_mb = 300;                       // limit of the process
   std::int64_t descriptors = 1024;                    // limit of the process
-  absl::Duration shutdown_grace = absl::Seconds(8);   // from SIGTERM to SIGKILL
+  absl::Duration shutdown_grace = absl::Seconds(8);   // from SIGTERM to SIGKILL; reload
   absl::Duration order_hand_over = absl::Seconds(3);  // between orders of two hosts to one engine
-  std::string log_level = "info";                     // "info", "warning" or "error"; reload
+  std::string log_level = "info";                     // "info", "warning" or "error"
 };
 
 // Errors: kInvalidRequest with a line for each problem: "path: found X, expected Y".
--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -56,9 +56,8 @@
   std::vector<std::size_t> order;  // item by rank
   std::set<std::size_t> waiting;   // ranks
   int running = 0;
-  std::int64_t unlisted = 0;  // items without a result
-  bool ready = false;         // stored texts have been looked for
-  bool frozen = false;        // nothing new is started
+  bool ready = false;   // stored texts have been looked for
+  bool frozen = false;  // nothing new is started
   bool handing_over = false;
   std::map<std::string, std::string> group_upstream;  // that has read the group's prompt
   std::deque<ItemResult> pending;                     // results without a position
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -34,7 +34,6 @@
     job.order.push_back(it);
   }
   job.submission.items.clear();
-  job.unlisted = static_cast<std::int64_t>(job.items.size());
   RankItems(job);
   return job;
 }
@@ -73,7 +72,7 @@
   const std::string id = job.submission.id;
   const Route* const known_route = directory_.FindRoute(job.submission.host, job.submission.path);
   if (known_route != nullptr && !known_route->services.empty())
-    LearnPaces(known_route->services.front().service, [] {});
+    LearnPaces(known_route->services.front().service);
   store_.Get(
       {std::string(kPartialTable), PartialPartition(job), "", "", 0}, [this, id](const StoreReply& reply) {
         NoteStoreTime(reply);
@@ -193,9 +192,9 @@
                 [this](const StoreReply& reply) { NoteStoreTime(reply); });  // a loss costs speed only
 }
 
-void BatchService::LearnPaces(const std::string& service, std::function<void()> done) {
+void BatchService::LearnPaces(const std::string& service) {
   store_.Get({std::string(kPaceTable), service, std::string(kPaceKey), "", 1},
-             [this, done = std::move(done)](const StoreReply& reply) {
+             [this](const StoreReply& reply) {
                NoteStoreTime(reply);
                const std::map<std::string, double> paces =
                    reply.rows.empty() ? std::map<std::string, double>() : DecodePaces(reply.rows[0].value);
@@ -203,7 +202,6 @@
                  UpstreamState* const upstream = directory_.Find(it.first);
                  if (upstream != nullptr) LearnPace(*upstream, it.second);
                }
-               done();
              });
 }
 
@@ -496,7 +494,6 @@
   StopRun(job, item);
   job.waiting.erase(item.rank);
   item.phase = Phase::kListed;
-  --job.unlisted;
   ItemResult result;
   result.item = item.spec.id;
   result.state = state;
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -263,7 +263,6 @@
                       if (!listed.contains(it.spec.id)) continue;
                       it.phase = Phase::kListed;
                       job.waiting.erase(it.rank);
-                      --job.unlisted;
                     }
                   });
 }
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -100,7 +100,7 @@
                     std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done);
   void LoadPartials(Job& job);
   void SharePaces(Job& job);
-  void LearnPaces(const std::string& service, std::function<void()> done);
+  void LearnPaces(const std::string& service);
   void ReadOnce(const std::shared_ptr<Reading>& reading);
   void SweepPage(const std::string& after);
   void SweepJobs(std::deque<std::string> jobs, std::function<void()> done);
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -45,7 +45,7 @@
   CallerRequest request;
   Route route;
   std::string service;
-  AnswerCallback answer;
+  Responder answer;
   absl::Time started;
   absl::Time end;                            // of the caller's patience or of the route's timeout
   std::map<CallId, Attempt> attempts;        // in progress
@@ -73,7 +73,7 @@
     : loop_(loop), link_(link), directory_(directory), zone_(std::move(zone)) {}
 Frontend::~Frontend() = default;
 
-FrontendId Frontend::Handle(CallerRequest request, const Route& route, AnswerCallback answer) {
+FrontendId Frontend::Handle(CallerRequest request, const Route& route, Responder answer) {
   const FrontendId id = next_++;
   std::unique_ptr<Exchange> owned = std::make_unique<Exchange>();
   Exchange& exchange = *owned;
@@ -299,7 +299,7 @@
         it.second.head.status == 0 && loop_.Now() - it.second.started >= HedgeAfter(exchange.route.objective);
     if (stalled) ObserveFailure(*upstream, loop_.Now());
   }
-  AnswerCallback answer = std::move(exchange.answer);
+  Responder answer = std::move(exchange.answer);
   exchanges_.erase(exchange.id);
   if (answer) answer(std::move(response));
 }
--- a/src/serving/frontend.h
+++ b/src/serving/frontend.h
@@ -22,7 +22,6 @@
   std::string id;                          // of this attempt of the caller
   std::optional<absl::Duration> deadline;  // time that the caller will wait
 };
-using AnswerCallback = std::function<void(HttpResponse)>;
 using FrontendId = std::uint64_t;
 
 // An answer of this host itself, with the status of the error's row and, if a retry helps, when to return.
@@ -33,7 +32,7 @@
   Frontend(Loop& loop, UpstreamLink& link, Directory& directory, std::string zone);
   ~Frontend();
   // Answers exactly once unless abandoned. `route` is copied.
-  FrontendId Handle(CallerRequest request, const Route& route, AnswerCallback answer);
+  FrontendId Handle(CallerRequest request, const Route& route, Responder answer);
   // The caller has left: upstreams stop working for it.
   void Abandon(FrontendId id);
   // While this host does not reach the store, upstreams of its own zone come first.
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -121,6 +121,21 @@
   return id;
 }
 
+CallId HttpClient::StartWhole(HttpCall call, std::function<void(CallEnd, int, const std::string&)> done) {
+  struct Answer {
+    int status = 0;
+    std::string body;
+  };
+  const std::shared_ptr<Answer> answer = std::make_shared<Answer>();
+  HttpCallHandlers handlers;
+  handlers.on_head = [answer](const HttpResponse& head) { answer->status = head.status; };
+  handlers.on_body = [answer](std::string_view piece) { answer->body.append(piece); };
+  handlers.on_end = [answer, done = std::move(done)](CallEnd end) {
+    done(end, answer->status, answer->body);
+  };
+  return Start(std::move(call), std::move(handlers));
+}
+
 void HttpClient::Cancel(CallId id) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -45,6 +45,9 @@
   HttpClient(EventLoop& loop, HttpClientLimits limits);
   ~HttpClient();
   CallId Start(HttpCall call, HttpCallHandlers handlers);
+  // As Start, for an answer that is wanted as a whole: `done` gets its end, its status (0: no head) and its
+  // body.
+  CallId StartWhole(HttpCall call, std::function<void(CallEnd, int, const std::string&)> done);
   void Cancel(CallId id);
   // Closes kept connections that have been idle for too long.
   void CloseIdle();
