Ask engines for their load before a long run moves and before a step begins

Change: GET of the health path tells load and slowdown at once. An owner asks its engines before it places a step; the run of an item that is likely to be among the last is looked into after one late event: its engine and two others are asked, and it moves if the answers show a gain. Short items leave only engines that stay slow for a second. Waiting readers poll each 60 ms (200).

--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -165,6 +165,7 @@
 struct ServiceSpec {
   std::string name;                 //
   int max_connections = 64;         // connections to one upstream, over all hosts
+  std::string health_path;          // answered at once, with the upstream's load; empty: none
   std::vector<std::string> models;  // empty: not a model engine
 };
 struct CallerLimits {
@@ -272,6 +273,9 @@
   // Closes the call's connection. No handler of the call is invoked afterwards.
   virtual void Cancel(CallId id) = 0;
   virtual void FetchReport(const UpstreamEntry& upstream, std::function<void(const EngineReport&)> done) = 0;
+  // The load at this moment, by a GET of the service's health path; nullopt: no answer that states it.
+  virtual void FetchLoad(const UpstreamEntry& upstream, const std::string& health_path,
+                         std::function<void(const std::optional<ReportedLoad>&)> done) = 0;
   virtual void SendOrder(const UpstreamEntry& upstream, const WeightsOrder& order,
                          std::function<void(OrderOutcome)> done) = 0;
 };
--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -42,6 +42,7 @@
   absl::Time started;
   absl::Time last_progress;
   int events_in_run = 0;
+  absl::Time next_question = absl::InfinitePast();  // for the loads of its upstream and of another
   AnswerHead head;
   std::int64_t version = 0;  // of the weights at this moment
   EventStreamReader reader;
@@ -56,7 +57,9 @@
   std::vector<std::size_t> order;  // item by rank
   std::set<std::size_t> waiting;   // ranks
   int running = 0;
-  bool ready = false;   // stored texts have been looked for
+  bool ready = false;     // stored texts have been looked for
+  int loads_pending = 0;  // questions to upstreams before the first items are placed
+  absl::Time loads_until = absl::InfinitePast();
   bool frozen = false;  // nothing new is started
   bool handing_over = false;
   std::map<std::string, std::string> group_upstream;  // that has read the group's prompt
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -19,6 +19,12 @@
 constexpr absl::Duration kUnexpectedPause =
     absl::Milliseconds(500);  // an answer that the protocol does not give to runs
 constexpr absl::Duration kLeastRunBeforeMove = absl::Milliseconds(400);
+constexpr absl::Duration kLoadQuestionGap = absl::Milliseconds(60);  // between questions to one upstream
+constexpr absl::Duration kQuestionEvery = absl::Milliseconds(60);    // for one run
+constexpr absl::Duration kLoadsPatience = absl::Milliseconds(30);    // some links take no answers back
+constexpr std::size_t kDecisiveByHint =
+    8;  // one item in so many; hints find nine of ten of the longest there
+constexpr std::size_t kDecisiveWhenLeft = 3;    // the last third of the items is longer than usual
 constexpr std::int64_t kCheckpointEvents = 10;  // new events that are worth a write
 constexpr int kUnframedEndsToBelieve = 2;       // ends without a length that agree
 
@@ -73,6 +79,7 @@
   const Route* const known_route = directory_.FindRoute(job.submission.host, job.submission.path);
   if (known_route != nullptr && !known_route->services.empty())
     LearnPaces(known_route->services.front().service);
+  AskLoads(job);
   store_.Get(
       {std::string(kPartialTable), PartialPartition(job), "", "", 0}, [this, id](const StoreReply& reply) {
         NoteStoreTime(reply);
@@ -237,7 +244,7 @@
   const absl::Time now = loop_.Now();
   for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) {
     Job& job = *it.second;
-    if (!job.ready || job.frozen) continue;
+    if (!job.ready || job.frozen || (job.loads_pending > 0 && now < job.loads_until)) continue;
     const std::vector<std::size_t> ranks(job.waiting.begin(), job.waiting.end());
     for (const std::size_t rank : ranks) {
       Item& item = job.items[job.order[rank]];
@@ -508,30 +515,103 @@
 
 // ---- Slow and late runs -----------------------------------------------------------------------------------
 
+// False: the upstream was asked a moment ago, or tells no load; `done` is not called then.
+bool BatchService::AskLoad(const ServiceSpec& spec, UpstreamState& upstream, std::function<void()> done) {
+  const absl::Time now = loop_.Now();
+  if (spec.health_path.empty() || upstream.load_asked || now - upstream.load_asked_at < kLoadQuestionGap)
+    return false;
+  upstream.load_asked = true;
+  upstream.load_asked_at = now;
+  const std::string id = upstream.entry.id;
+  link_.FetchLoad(upstream.entry, spec.health_path,
+                  [this, id, done = std::move(done)](const std::optional<ReportedLoad>& load) {
+                    UpstreamState* const found = directory_.Find(id);
+                    if (found != nullptr) {
+                      found->load_asked = false;
+                      if (load) ObserveLoad(*found, *load, loop_.Now());
+                    }
+                    done();
+                  });
+  return true;
+}
+
+// Before the first items are placed: other owners' items take slots that this host has not seen, and a run
+// that is placed on a full engine waits there for half a second.
+void BatchService::AskLoads(Job& job) {
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  const ServiceSpec* spec = route == nullptr || route->services.empty()
+                                ? nullptr
+                                : directory_.FindService(route->services.front().service);
+  if (spec == nullptr) return;
+  job.loads_until = loop_.Now() + kLoadsPatience;
+  for (UpstreamState* it : directory_.Usable(spec->name)) {
+    if (WeightsOf(*it, job.submission.model) < job.submission.min_version) continue;
+    const bool asked = AskLoad(*spec, *it, [this, id = job.submission.id] {
+      Job* const found = FindJob(id);
+      if (found != nullptr && --found->loads_pending == 0) Dispatch();
+    });
+    if (asked) ++job.loads_pending;
+  }
+}
+
+// The items that are likely to end last: the longest by the hint, and what is left when most are listed.
+bool BatchService::IsDecisive(const Job& job, const Item& item) {
+  const std::size_t total = job.items.size();
+  const std::size_t unlisted = job.waiting.size() + static_cast<std::size_t>(job.running);
+  return item.rank * kDecisiveByHint < total || unlisted * kDecisiveWhenLeft <= total;
+}
+
 void BatchService::MoveSlowRuns(Job& job) {
   if (job.running == 0) return;
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
   if (route == nullptr || route->services.empty()) return;
+  const ServiceSpec* spec = directory_.FindService(route->services.front().service);
+  if (spec == nullptr) return;
   const absl::Time now = loop_.Now();
-  const std::vector<UpstreamState*> usable = directory_.Usable(route->services.front().service);
+  const std::vector<UpstreamState*> usable = directory_.Usable(spec->name);
   const double usual = MedianPace(usable);
+  const bool loads_told = std::any_of(usable.begin(), usable.end(), [](const UpstreamState* it) {
+    return it->load_at > absl::InfinitePast();
+  });
   bool moved = false;
-  for (Item& it : job.items) {
-    if (it.phase != Phase::kRunning || now - it.started < kLeastRunBeforeMove) continue;
-    ItemChoice choice = MakeChoice(job, it, *route);
-    choice.avoided = it.upstream;
-    UpstreamState* const other = PickForItem(usable, choice);
-    if (other == nullptr || other->entry.id == it.upstream) continue;
-    const UpstreamState* const upstream = directory_.Find(it.upstream);
+  for (const std::size_t index : job.order) {
+    Item& it = job.items[index];
+    if (it.phase != Phase::kRunning) continue;
     RunProgress progress;
     progress.since_last_event = now - it.last_progress;
+    progress.since_start = now - it.started;
     progress.events_here = it.events_in_run;
-    progress.events = it.events;
+    progress.decisive = IsDecisive(job, it);
+    // Most runs are judged by these alone, without a choice of another engine.
+    if (!progress.decisive && progress.since_start < kLeastRunBeforeMove) continue;
+    ItemChoice choice = MakeChoice(job, it, *route);
+    choice.excluded = {it.upstream};
+    UpstreamState* const other = PickForItem(usable, choice);
+    if (other == nullptr) continue;
+    UpstreamState* const upstream = directory_.Find(it.upstream);
     progress.gap_ms = upstream == nullptr ? usual : ExpectedGap(*upstream, usual, now);
-    progress.pace_ms = upstream == nullptr ? 0 : upstream->pace_ms;
+    progress.pace_ms = upstream == nullptr || upstream->pace_ms <= 0 ? usual : upstream->pace_ms;
+    progress.load_fresh = !loads_told || (upstream != nullptr && LoadIsFresh(*upstream, now));
+    progress.mute = upstream == nullptr || IsMute(*upstream, now);
+    progress.queued = upstream != nullptr && upstream->load.waiting > 0;
     progress.other_gap_ms = ExpectedGap(*other, usual, now);
     progress.other_pace_ms = other->pace_ms;
-    if (!ShouldMoveRun(progress)) continue;
+    progress.other_load_fresh = !loads_told || LoadIsFresh(*other, now);
+    const RunVerdict verdict = JudgeRun(progress);
+    if (verdict == RunVerdict::kAskLoads && now >= it.next_question) {
+      it.next_question = now + kQuestionEvery;
+      const std::function<void()> judge = [this, id = job.submission.id] {
+        Job* const found = FindJob(id);
+        if (found != nullptr && !found->frozen) MoveSlowRuns(*found);
+      };
+      if (upstream != nullptr) AskLoad(*spec, *upstream, judge);
+      AskLoad(*spec, *other, judge);
+      // The best by what was known may have changed; a second one is asked along with it.
+      choice.excluded.push_back(other->entry.id);
+      UpstreamState* const second = PickForItem(usable, choice);
+      if (second != nullptr) AskLoad(*spec, *second, judge);
+    }
+    if (verdict != RunVerdict::kMove) continue;
     // Started there at once, so that the next run sees the slot taken.
     Requeue(job, it, absl::ZeroDuration(), "slow");
     StartRun(job, it, *other);
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -41,7 +41,7 @@
   absl::Duration renew_every = absl::Milliseconds(300);        // also bounds how late an end is noticed
   absl::Duration commit_every = absl::Milliseconds(40);        // results gather for so long
   absl::Duration checkpoint_every = absl::Milliseconds(1000);  // texts of running items
-  absl::Duration poll_every = absl::Milliseconds(200);         // store reads of a waiting reader
+  absl::Duration poll_every = absl::Milliseconds(60);          // store reads of a waiting reader
   absl::Duration silence_limit = absl::Milliseconds(2500);     // a run without a byte is broken off
   absl::Duration accept_patience = absl::Milliseconds(1500);   // of a submission while the store refuses
   absl::Duration retention = absl::Minutes(5);        // of an ended or finished job, from its acceptance
@@ -117,6 +117,9 @@
   void Requeue(Job& job, Item& item, absl::Duration pause, std::string_view reason);
   void ListItem(Job& job, Item& item, ItemState state);
   void DropText(Item& item);
+  bool AskLoad(const ServiceSpec& spec, UpstreamState& upstream, std::function<void()> done);
+  void AskLoads(Job& job);
+  static bool IsDecisive(const Job& job, const Item& item);
   void MoveSlowRuns(Job& job);
   void GiveUpLate(Job& job);
   void CommitResults(Job& job);
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -30,9 +30,14 @@
 constexpr double kOtherZoneCost = 0.03;  // bytes between zones are few
 constexpr double kAvoidedCost = 0.5;     // of the engine that just failed the item
 constexpr double kSlowFactor = 1.8;      // times the gap elsewhere
-constexpr double kSlowFactorOfLongRun = 1.2;  // for runs that are likely to be the step's last
-constexpr std::int64_t kLongRunEvents = 24;   // above the usual length; most of the others have ended
-constexpr int kEventsToJudge = 6;             // events of a run before its pace is judged
+constexpr absl::Duration kLeastRunOfShortItem = absl::Seconds(1);  // a neighbour's burst is over by then
+constexpr int kEventsToJudge = 6;    // events of a run before its pace is judged
+constexpr double kLateFactor = 1.4;  // times the pace: other requests' prompts delay an event by less
+constexpr absl::Duration kFirstEventLate = absl::Milliseconds(120);  // a prompt is read in 30 ms
+constexpr double kDecisiveFactor = 1.4;       // between a move's gain and its cost over half a second
+constexpr double kDecisivePaceFactor = 1.15;  // engines of one service differ by a third
+constexpr absl::Duration kFreshLoad = absl::Milliseconds(100);
+constexpr absl::Duration kMuteAfter = absl::Milliseconds(150);
 constexpr absl::Duration kSilenceFloor =
     absl::Milliseconds(600);           // weights loads pause a stream for longer than noise
 constexpr double kSilenceFactor = 12;  // times the usual gap
@@ -101,7 +106,7 @@
   double best_cost = 0;
   for (UpstreamState* it : usable) {
     const std::int64_t held = WeightsOf(*it, choice.model);
-    if (held < choice.min_version) continue;
+    if (held < choice.min_version || Contains(choice.excluded, it->entry.id)) continue;
     if (choice.exact_version != 0 && held != choice.exact_version) continue;
     if (choice.now < it->avoid_until) continue;
     const auto loading = it->loading_until.find(choice.model);
@@ -134,18 +139,42 @@
 
 double ExpectedGap(const UpstreamState& upstream, double usual_gap_ms, absl::Time now) {
   const double pace = upstream.pace_ms > 0 ? upstream.pace_ms : usual_gap_ms;
+  // The newer of what its events and what its own report show.
+  if (upstream.load_at >= upstream.gap_at)
+    return pace * (1 + (upstream.load.slowdown - 1) * Freshness(upstream.load_at, now, kGapMemory));
   if (upstream.gap_ms <= pace) return pace;
   return pace + (upstream.gap_ms - pace) * Freshness(upstream.gap_at, now, kGapMemory);
 }
 
-bool ShouldMoveRun(const RunProgress& run) {
-  if (run.other_gap_ms <= 0) return false;
+bool LoadIsFresh(const UpstreamState& upstream, absl::Time now) {
+  return now - upstream.load_at <= kFreshLoad;
+}
+
+bool IsMute(const UpstreamState& upstream, absl::Time now) {
+  return upstream.load_asked && now - upstream.load_asked_at >= kMuteAfter;
+}
+
+RunVerdict JudgeRun(const RunProgress& run) {
+  if (run.other_gap_ms <= 0) return RunVerdict::kStay;
   if (run.since_last_event >= std::max(kSilenceFloor, absl::Milliseconds(run.other_gap_ms * kSilenceFactor)))
-    return true;
-  if (run.events_here < kEventsToJudge) return false;
-  if (run.gap_ms >= kSlowFactor * run.other_gap_ms) return true;
-  const bool always_slower = run.other_pace_ms > 0 && run.pace_ms >= kSlowFactorOfLongRun * run.other_pace_ms;
-  return always_slower && run.events >= kLongRunEvents && run.gap_ms > run.other_gap_ms;
+    return RunVerdict::kMove;
+  if (!run.decisive) {
+    const bool judged = run.since_start >= kLeastRunOfShortItem && run.events_here >= kEventsToJudge;
+    return judged && run.gap_ms >= kSlowFactor * run.other_gap_ms ? RunVerdict::kMove : RunVerdict::kStay;
+  }
+  const bool waits = run.events_here == 0
+                         ? run.since_last_event >= kFirstEventLate
+                         : run.since_last_event >= absl::Milliseconds(kLateFactor * run.pace_ms);
+  // A burst that a load has shown goes on for a few events.
+  const bool late = waits || (run.load_fresh && run.gap_ms >= kLateFactor * run.pace_ms);
+  const bool always_slower = run.events_here >= kEventsToJudge && run.other_pace_ms > 0 &&
+                             run.pace_ms >= kDecisivePaceFactor * run.other_pace_ms;
+  if (!late && !always_slower) return RunVerdict::kStay;
+  if (!run.other_load_fresh || !(run.load_fresh || run.mute)) return RunVerdict::kAskLoads;
+  if (run.mute && late) return RunVerdict::kMove;
+  if (run.events_here == 0 && run.queued) return RunVerdict::kMove;
+  const double factor = always_slower ? kDecisivePaceFactor : kDecisiveFactor;
+  return run.gap_ms >= factor * run.other_gap_ms ? RunVerdict::kMove : RunVerdict::kStay;
 }
 
 int MostLoadsAtOnce(int engines) { return std::max(1, static_cast<int>(std::lround(engines / 5.0))); }
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -40,13 +40,14 @@
 // ---- Items of batch jobs ----------------------------------------------------------------------------------
 
 struct ItemChoice {
-  std::string model;               //
-  std::int64_t min_version = 0;    // oldest weights that may run it
-  std::int64_t exact_version = 0;  // 0: any from min_version on
-  std::string zone;                // of this host
-  std::string avoided;             // upstream that just failed it; empty: none
-  std::string preferred;           // upstream that has read the group's prompt; empty: none
-  absl::Time now;                  //
+  std::string model;                  //
+  std::int64_t min_version = 0;       // oldest weights that may run it
+  std::int64_t exact_version = 0;     // 0: any from min_version on
+  std::string zone;                   // of this host
+  std::string avoided;                // upstream that just failed it; empty: none
+  std::vector<std::string> excluded;  // upstreams that are not wanted at all
+  std::string preferred;              // upstream that has read the group's prompt; empty: none
+  absl::Time now;                     //
 };
 // An upstream with a free slot that holds usable weights, or nullptr: the item waits here, where it can still
 // be placed on whichever upstream is free first. Load answered: a step's items that come all at once, several
@@ -62,17 +63,33 @@
 
 struct RunProgress {
   absl::Duration since_last_event;  // or since the start
+  absl::Duration since_start;       // of this run
   int events_here = 0;              // of this run
-  std::int64_t events = 0;          // of the text
-  double gap_ms = 0;                // of the upstream at this moment
+  bool decisive = false;            // likely to be among the last of its step
+  double gap_ms = 0;                // expected at the upstream at this moment
   double pace_ms = 0;               // of the upstream on the long average
+  bool load_fresh = false;          // `gap_ms` and `queued` rest on a load that was asked for just now
+  bool mute = false;                // the upstream left a question for its load unanswered
+  bool queued = false;              // requests wait at the upstream
   double other_gap_ms = 0;          // of the best other upstream with room; 0: none has room
   double other_pace_ms = 0;         //
+  bool other_load_fresh = false;    //
+};
+enum class RunVerdict {
+  kStay,
+  kAskLoads,  // worth a question to both upstreams, which costs a tenth of a new connection
+  kMove,      // break the run off and continue it elsewhere from its last event
 };
-// True if a run should be broken off and continued elsewhere from its last event, which costs some ten
-// milliseconds. Load answered: a step's last items on engines that turn slow or silent for a moment, or that
-// are slower than others at all times.
-bool ShouldMoveRun(const RunProgress& run);
+// Load answered: a step's last items on engines that turn slow for half a second because of their neighbours,
+// go silent, are slower than others at all times, or have a queue. A move costs the event in progress, a
+// prompt that is read again and mostly a new connection, so short items move only from engines that stay
+// slow.
+RunVerdict JudgeRun(const RunProgress& run);
+
+// True for a load that was reported so short a time ago that a run may be moved on its word.
+bool LoadIsFresh(const UpstreamState& upstream, absl::Time now);
+// True for an upstream that has left a question for its load unanswered for longer than any link takes.
+bool IsMute(const UpstreamState& upstream, absl::Time now);
 
 // Median of the known paces; 0: none is known.
 double MedianPace(const std::vector<UpstreamState*>& usable);
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -35,6 +35,13 @@
   return best;
 }
 
+const ServiceSpec* Directory::FindService(std::string_view name) const {
+  for (const ServiceSpec& it : policy_.services) {
+    if (it.name == name) return &it;
+  }
+  return nullptr;
+}
+
 void Directory::ApplyUpstream(const UpstreamEntry& entry) {
   UpstreamState& state = upstreams_[entry.id];
   // A new start under an old id knows nothing of before; calls in progress keep their count.
@@ -98,15 +105,17 @@
 }
 
 void ObserveHead(UpstreamState& upstream, const AnswerHead& head, const std::string& model, absl::Time now) {
-  if (head.load) {
-    upstream.load = *head.load;
-    upstream.load_at = now;
-    upstream.in_flight_at_load = upstream.in_flight;
-  }
+  if (head.load) ObserveLoad(upstream, *head.load, now);
   // What an engine says of its weights with an answer is newer than the list.
   if (head.weights && !model.empty() && *head.weights > 0) upstream.observed_weights[model] = *head.weights;
 }
 
+void ObserveLoad(UpstreamState& upstream, const ReportedLoad& load, absl::Time now) {
+  upstream.load = load;
+  upstream.load_at = now;
+  upstream.in_flight_at_load = upstream.in_flight;
+}
+
 void ObserveLatency(UpstreamState& upstream, absl::Duration latency, absl::Time now) {
   const double ms = absl::ToDoubleMilliseconds(latency);
   upstream.latency_ms =
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -25,8 +25,10 @@
   absl::Time avoid_until = absl::InfinitePast();    // after failures or refusals
   ReportedLoad load;                                // newest report
   absl::Time load_at = absl::InfinitePast();
-  int in_flight_at_load = 0;  // of this host, when the report was made
-  double latency_ms = 0;      // moving average of unary calls; 0: none yet
+  int in_flight_at_load = 0;                        // of this host, when the report was made
+  absl::Time load_asked_at = absl::InfinitePast();  // last question for its load
+  bool load_asked = false;                          // that question has no answer yet
+  double latency_ms = 0;                            // moving average of unary calls; 0: none yet
   absl::Time latency_at = absl::InfinitePast();
   double gap_ms = 0;  // moving average of the time between events of a stream; 0: none yet
   absl::Time gap_at = absl::InfinitePast();
@@ -43,6 +45,7 @@
   const Policy& PolicyInForce() const { return policy_; }
   // The route with the longest prefix that begins the path of `target`; nullptr: none.
   const Route* FindRoute(std::string_view host, std::string_view target) const;
+  const ServiceSpec* FindService(std::string_view name) const;
 
   // Adds or changes one upstream.
   void ApplyUpstream(const UpstreamEntry& entry);
@@ -71,6 +74,7 @@
 // ---- Observations -----------------------------------------------------------------------------------------
 
 void ObserveHead(UpstreamState& upstream, const AnswerHead& head, const std::string& model, absl::Time now);
+void ObserveLoad(UpstreamState& upstream, const ReportedLoad& load, absl::Time now);
 void ObserveLatency(UpstreamState& upstream, absl::Duration latency, absl::Time now);
 void ObserveEventGap(UpstreamState& upstream, absl::Duration gap, absl::Time now);
 // Learns an engine's pace from another host, unless this host has measured it.
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -370,6 +370,49 @@
   ExpectWhole(ReadNow(host, kJob).second, 12);
 }
 
+// Replays a neighbour's burst on the engine of a step's last item, too short for the engine's average to show
+// it: the item must not wait for the burst's end.
+TEST_F(BatchServiceTest, TheLastItemLeavesAnEngineInABurst) {
+  for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.entry.slots = 8;
+  TestHost& host = AddHost("h1");
+  engines.lengths["item0"] = 60;
+  BatchSubmission job = MakeJob(kJob, 16);
+  job.items[0].length_hint = 60;
+  ASSERT_EQ(SubmitNow(host, job), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(1));
+  ASSERT_EQ(engines.runs.size(), 16u);
+  const std::string first = [this] {
+    for (const fakes::RunRecord& it : engines.runs) {
+      if (it.request == "item0") return it.engine;
+    }
+    return std::string();
+  }();
+  engines.engines[first].slowdown = 10;
+  // 60 events take 2.4 s; a burst that lasts until the end would take 36 events of 400 ms more.
+  loop.RunFor(absl::Milliseconds(1700));
+  ExpectWhole(ReadNow(host, kJob).second, 16);
+  EXPECT_EQ(RunsOf("item0"), 2);
+}
+
+// Guards against items placed on engines that another owner has filled: they would wait there in the queue.
+TEST_F(BatchServiceTest, AnOwnerAsksForLoadsBeforeItPlacesItsItems) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  BatchSubmission other = MakeJob("other", 8);
+  for (BatchItem& it : other.items) {
+    it.id = "other-" + it.id;
+    engines.lengths[it.id] = 100;
+  }
+  ASSERT_EQ(SubmitNow(first, other), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(1));
+  int refused = 0;
+  engines.on_refusal = [&refused] { ++refused; };
+  ASSERT_EQ(SubmitNow(second, MakeJob(kJob, 4)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(1));
+  ExpectWhole(ReadNow(second, kJob).second, 4);
+  EXPECT_EQ(refused, 0);
+}
+
 // Guards against work that is thrown away by a graceful shutdown.
 TEST_F(BatchServiceTest, AShutdownHandsTheTextsOver) {
   TestHost& first = AddHost("h1");
--- a/tests/frontend_test.cc
+++ b/tests/frontend_test.cc
@@ -52,6 +52,8 @@
   }
   void Cancel(CallId id) override { sent[id].cancelled = true; }
   void FetchReport(const UpstreamEntry&, std::function<void(const EngineReport&)>) override {}
+  void FetchLoad(const UpstreamEntry&, const std::string&,
+                 std::function<void(const std::optional<ReportedLoad>&)>) override {}
   void SendOrder(const UpstreamEntry&, const WeightsOrder&, std::function<void(OrderOutcome)>) override {}
 
   static Script Success() {
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -255,11 +255,12 @@
     AnswerHead head;
     head.request_id = request;
     head.signed_answer = true;
-    head.load = ReportedLoad{engine.running, 0, engine.entry.slots, 1};
+    head.load = ReportedLoad{engine.running, 0, engine.entry.slots, engine.slowdown};
     if (engine.running > engine.entry.slots ||
         (loop_.Now() < engine.loading_until && engine.loading_model == model)) {
       head.status = 503;
       head.not_run = true;
+      if (engines_.on_refusal) engines_.on_refusal();
       SendHead(id, head);
       End(id, CallEnd::kComplete);
       return;
@@ -300,7 +301,7 @@
     End(id, CallEnd::kComplete);
     return;
   }
-  loop_.After(engine.gap, [this, id] {
+  loop_.After(engine.gap * engine.slowdown, [this, id] {
     const auto it = calls_.find(id);
     if (it == calls_.end()) return;
     Call& call = it->second;
@@ -365,6 +366,19 @@
   });
 }
 
+void EnginePort::FetchLoad(const UpstreamEntry& upstream, const std::string&,
+                           std::function<void(const std::optional<ReportedLoad>&)> done) {
+  ++engines_.load_questions;
+  loop_.After(kLinkDelay, [this, id = upstream.id, done = std::move(done)] {
+    const auto it = engines_.engines.find(id);
+    if (it == engines_.engines.end() || it->second.silent) {
+      loop_.After(kSilenceUntilUnknown, [done] { done(std::nullopt); });
+      return;
+    }
+    done(ReportedLoad{it->second.running, 0, it->second.entry.slots, it->second.slowdown});
+  });
+}
+
 void EnginePort::SendOrder(const UpstreamEntry& upstream, const WeightsOrder& order,
                            std::function<void(OrderOutcome)> done) {
   engines_.orders.push_back({loop_.Now(), upstream.id, order});
@@ -407,6 +421,7 @@
   ServiceSpec engines;
   engines.name = "engines";
   engines.models = {"words"};
+  engines.health_path = "/health";
   ServiceSpec lookups;
   lookups.name = "lookups";
   policy.services = {engines, lookups};
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -76,6 +76,7 @@
 struct FakeEngine {
   UpstreamEntry entry;
   absl::Duration gap = absl::Milliseconds(40);  // between events
+  double slowdown = 1;                          // of the gap, by its neighbours
   std::map<std::string, std::int64_t> weights;
   std::int64_t orders_accepted = 0;
   absl::Time loading_until = absl::InfinitePast();
@@ -113,6 +114,8 @@
   std::map<std::string, std::map<int, std::int64_t>> made_under;  // request, event: version
   std::vector<OrderRecord> orders;
   std::vector<RunRecord> runs;
+  int load_questions = 0;
+  std::function<void()> on_refusal;  // of a request at a full or loading engine; empty: none
   std::vector<std::pair<std::string, WeightsOrder>> unanswered;  // orders of engines that ignore them
 
   // Carries out an order as it arrives at the engine.
@@ -131,6 +134,8 @@
   CallId Start(UpstreamCall call, CallHandlers handlers) override;
   void Cancel(CallId id) override;
   void FetchReport(const UpstreamEntry& upstream, std::function<void(const EngineReport&)> done) override;
+  void FetchLoad(const UpstreamEntry& upstream, const std::string& health_path,
+                 std::function<void(const std::optional<ReportedLoad>&)> done) override;
   void SendOrder(const UpstreamEntry& upstream, const WeightsOrder& order,
                  std::function<void(OrderOutcome)> done) override;
   // The host dies: its connections close and nothing is delivered any more.
