--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -241,6 +241,24 @@
     transaction.removals = {{table, "", key}};
     store.Apply(transaction);
   }
+  // Changes of all kinds reach the directory, whether the feed tells them or a whole read.
+  void FollowChanges() {
+    Put("op", "config", kPolicy);
+    Put("servers", "i-1", kEntry);
+    Put("servers", "i-2", "not readable");
+    feed.Start();
+    loop.RunFor(absl::Seconds(1));
+    EXPECT_TRUE(feed.Complete());
+    EXPECT_EQ(directory.PolicyInForce().version, 7);
+    EXPECT_EQ(directory.Usable("s2").size(), 1u);
+    Put("op", "config", "broken {");
+    Put("op", "version/m1", R"({"model":"m1","version":9})");
+    Drop("servers", "i-1");
+    loop.RunFor(absl::Seconds(2));
+    EXPECT_EQ(directory.PolicyInForce().version, 7);
+    EXPECT_EQ(directory.NamedVersions().at("m1"), 9);
+    EXPECT_TRUE(directory.Usable("s2").empty());
+  }
   serving::fakes::FakeLoop loop;
   serving::fakes::FakeStore store{loop};
   serving::fakes::StorePort port{store};
@@ -248,23 +266,12 @@
   Feed feed{loop, port, directory};
 };
 
-// The fake's feed only times out; whole reads follow each time-out, so that this also covers a lost history.
-TEST_F(FeedTest, FollowsPoliciesUpstreamsAndVersions) {
-  Put("op", "config", kPolicy);
-  Put("servers", "i-1", kEntry);
-  Put("servers", "i-2", "not readable");
-  feed.Start();
-  loop.RunFor(absl::Seconds(1));
-  EXPECT_TRUE(feed.Complete());
-  EXPECT_EQ(directory.PolicyInForce().version, 7);
-  EXPECT_EQ(directory.Usable("s2").size(), 1u);
-  Put("op", "config", "broken {");
-  Put("op", "version/m1", R"({"model":"m1","version":9})");
-  Drop("servers", "i-1");
-  loop.RunFor(absl::Seconds(2));
-  EXPECT_EQ(directory.PolicyInForce().version, 7);
-  EXPECT_EQ(directory.NamedVersions().at("m1"), 9);
-  EXPECT_TRUE(directory.Usable("s2").empty());
+TEST_F(FeedTest, FollowsPoliciesUpstreamsAndVersions) { FollowChanges(); }
+
+// Guards against a feed that stands still when the store has dropped its history.
+TEST_F(FeedTest, ReadsAllRowsWhenTheHistoryIsGone) {
+  port.history_gone = true;
+  FollowChanges();
 }
 
 // Guards against a host that loses all upstreams because their registrations lapsed while the store was away.
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -72,7 +72,9 @@
   ++commits;
   for (const RowWrite& it : transaction.writes)
     rows[PartitionOf(it.id)][it.id.key] = {it.id, it.value, version, false};
-  for (const RowKey& it : transaction.removals) rows[PartitionOf(it)].erase(it.key);
+  for (const RowKey& it : transaction.removals) {
+    if (rows[PartitionOf(it)].erase(it.key) > 0) removed.push_back({it, "", version, true});
+  }
   reply.outcome = StoreOutcome::kOk;
   reply.version = version;
   return reply;
@@ -136,6 +138,13 @@
 
 // Looks for a change every store delay, as a feed that answers at once would.
 void StorePort::Watch(const std::string& table, std::int64_t after, absl::Duration wait, StoreCallback done) {
+  if (history_gone) {
+    StoreReply gone;
+    gone.outcome = StoreOutcome::kHistoryGone;
+    Answer(
+        wait, [gone] { return gone; }, std::move(done));
+    return;
+  }
   const std::function<StoreReply()> look = [this, table, after] {
     StoreReply reply;
     reply.outcome = StoreOutcome::kOk;
@@ -146,6 +155,11 @@
         if (row.second.version > after) reply.rows.push_back(row.second);
       }
     }
+    for (const Row& it : store_.removed) {
+      if (it.id.table == table && it.version > after) reply.rows.push_back(it);
+    }
+    std::stable_sort(reply.rows.begin(), reply.rows.end(),
+                     [](const Row& a, const Row& b) { return a.version < b.version; });
     return reply;
   };
   Answer(kStoreDelay, look, [this, table, after, wait, done = std::move(done)](const StoreReply& reply) {
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -48,6 +48,7 @@
 
   FakeLoop& loop;
   std::map<std::string, std::map<std::string, Row>> rows;  // by "table/partition", then key
+  std::vector<Row> removed;                                // what feeds tell of rows that are gone
   std::map<std::string, std::string> objects;
   std::int64_t version = 0;
   std::int64_t commits = 0;
@@ -66,6 +67,7 @@
 
   std::function<StoreFault(const Transaction&)> commit_fault;  // empty: none
   bool cut = false;                                            // no call arrives, none is answered
+  bool history_gone = false;                                   // feeds cannot be continued
   bool dead = false;                                           // the host is gone: answers reach nobody
 
  private:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -186,6 +186,61 @@
         return True
 
 
+class Proxy:
+    """A loopback link to one upstream. fault: "", delay, reset, silent, one_way (answers do not come back)."""
+
+    def __init__(self):
+        self.server = None
+        self.fault = ""
+        self.writers = set()
+
+    async def start(self, port, target_port):
+        self.port, self.target_port = port, target_port
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", port, limit=1 << 22)
+
+    async def stop(self):
+        if self.server is not None:
+            self.server.close()
+        self.set_fault("reset")
+
+    def set_fault(self, fault):
+        self.fault = fault
+        if fault == "reset":
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    async def accept(self, reader, writer):
+        if self.fault == "reset":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port, limit=1 << 22)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers.update((writer, far_writer))
+        try:
+            await asyncio.gather(self.pump(reader, far_writer, False), self.pump(far_reader, writer, True))
+        except asyncio.CancelledError:
+            pass  # the run is over
+        self.writers.difference_update((writer, far_writer))
+
+    async def pump(self, reader, writer, is_answer):
+        """Bytes that arrive during a silence are lost for good; the connection says nothing of it."""
+        try:
+            while data := await reader.read(1 << 16):
+                if self.fault == "silent" or (self.fault == "one_way" and is_answer):
+                    await asyncio.sleep(30)
+                    break
+                if self.fault == "delay":
+                    await asyncio.sleep(0.15)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.transport.abort() if self.fault else writer.close()
+
+
 class Books:
     """What upstreams saw."""
 
@@ -194,6 +249,7 @@
         self.arrivals = []                         # (time, item, engine)
         self.orders = []                           # (time, engine, holder, fence)
         self.service_runs = collections.Counter()  # by request id
+        self.load_questions = 0
 
 
 class Engine(Server):
@@ -204,6 +260,7 @@
         self.accepted = 0
         self.loading = None
         self.running = 0
+        self.proxy = Proxy()  # between hosts and this engine
         self.fault = ""   # "", silent, break, fail
         self.beats = 0
         self.born = int(time.time() * 1000)
@@ -212,7 +269,7 @@
     def register(self):
         self.beats += 1
         self.store.put("servers", self.name, {
-            "service": "engines", "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1", "slots": SLOTS,
+            "service": "engines", "address": f"127.0.0.1:{self.proxy.port}", "zone": self.zone, "version": "v1", "slots": SLOTS,
             "state": "ready", "warmupLeftMs": 0, "stage": "combined", "born": self.born, "sequence": self.beats,
             "models": [{"name": m, "version": v, "adapters": []} for m, v in self.versions.items()]})
 
@@ -227,6 +284,10 @@
             writer.write(response(200, {"models": [{"name": m, "version": v} for m, v in self.versions.items()],
                                         "busy": self.loading is not None, "sequence": self.accepted, "running": self.running}))
             return True
+        if target == "/health":
+            self.books.load_questions += 1
+            writer.write(response(200, headers=[("Instance-Id", self.name), ("Server-Load", f"{self.running},0,{SLOTS},100")]))
+            return True
         if target == "/api/order":
             return self.order(writer, json.loads(body))
         return await self.generate(writer, headers)
@@ -294,6 +355,7 @@
     def __init__(self, name, zone, store, books):
         super().__init__()
         self.name, self.zone, self.store, self.books = name, zone, store, books
+        self.proxy = Proxy()
         self.fault = ""
         self.beats = 0
         self.up = False
@@ -302,7 +364,7 @@
     def register(self):
         self.beats += 1
         self.store.put("servers", self.name, {
-            "service": "lookups", "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1", "slots": 6,
+            "service": "lookups", "address": f"127.0.0.1:{self.proxy.port}", "zone": self.zone, "version": "v1", "slots": 6,
             "state": "ready", "warmupLeftMs": 0, "born": self.born, "sequence": self.beats})
 
     async def answer(self, writer, method, target, headers, body):
