Log each move of a run with what decided it

Cause: line 525 said that a run was moved as slow, not on which figures. Change: event 531 names both engines, their expected gaps, the age of the last event and whether the loads had just been asked for.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -61,6 +61,7 @@
   kBatchRefused = 528,
   kBatchRemoved = 529,
   kAssignmentFailed = 530,
+  kItemMoved = 531,
   kWeightsOrdered = 604,
   kRequestAnswered = 900,
   kRequestRefused = 901,
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 57> kEventNames = {{
+constexpr std::array<EventName, 58> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -75,6 +75,7 @@
     {LogEvent::kItemListed, "item_listed"},
     {LogEvent::kCheckpointFailed, "checkpoint_failed"},
     {LogEvent::kAssignmentFailed, "assignment_failed"},
+    {LogEvent::kItemMoved, "item_moved"},
     {LogEvent::kBatchRefused, "batch_refused"},
     {LogEvent::kBatchRemoved, "batch_removed"},
     {LogEvent::kWeightsOrdered, "weights_ordered"},
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -1,5 +1,6 @@
 // Placement and runs of the items of batch jobs.
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -612,6 +613,18 @@
       if (second != nullptr) AskLoad(*spec, *second, judge);
     }
     if (verdict != RunVerdict::kMove) continue;
+    LogEventLine(LogLevel::kInfo, LogEvent::kItemMoved,
+                 {{"job", job.submission.id},
+                  {"item", it.spec.id},
+                  {"from", it.upstream},
+                  {"to", other->entry.id},
+                  {"decisive", progress.decisive},
+                  {"since_event_ms", absl::ToInt64Milliseconds(progress.since_last_event)},
+                  {"gap_ms", std::lround(progress.gap_ms)},
+                  {"other_gap_ms", std::lround(progress.other_gap_ms)},
+                  {"load_fresh", progress.load_fresh},
+                  {"mute", progress.mute},
+                  {"queued", progress.queued}});
     // Started there at once, so that the next run sees the slot taken.
     Requeue(job, it, absl::ZeroDuration(), "slow");
     StartRun(job, it, *other);
