Do not revive a leaving upstream because a list goes back to an earlier state

Change: a live row is believed only when the list's lag is over, whatever the list has shown before. The end of test LateListDoesNotReviveALeavingUpstream asserted the faulty rule (a live row after the list has caught up is a new life); it is replaced by AListThatGoesBackDoesNotReviveALeavingUpstream, which holds both sides of the bound.

--- a/src/hosts/membership.cc
+++ b/src/hosts/membership.cc
@@ -546,13 +546,10 @@
     if (it.second.state == UpstreamState::kLive) continue;
     const auto listed = upstreams.find(it.first);
     const bool live = listed != upstreams.end() && listed->second.state == UpstreamState::kLive;
-    const auto before = membership.upstreams.find(it.first);
-    // The list has caught up with the observation once it shows the upstream as leaving or not at all. If it
-    // then shows it as live, that is a new life of the upstream.
-    const bool caught_up =
-        !live && membership.observed_at[it.first] < now && before != membership.upstreams.end();
+    // A list that has shown the upstream as leaving may go back to an earlier state, so that a live row is
+    // no proof of a new life before the list's lag is over.
     const bool believed = now - membership.observed_at[it.first] >= membership.limits.list_lag;
-    if (caught_up || (live && believed)) it.second.state = UpstreamState::kLive;
+    if (live && believed) it.second.state = UpstreamState::kLive;
   }
   membership.upstreams = std::move(upstreams);
   for (const auto& it : membership.observations) ApplyObservation(membership, it.first);
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -164,12 +164,26 @@
     ApplyPlatformList(membership, list, now);
     EXPECT_EQ(membership.upstreams.at("e1").state, UpstreamState::kLeaving);
   }
-  // Once the list has shown that it knows, a live row is a new life.
-  PlatformList caught_up = list;
-  caught_up.upstreams[0].state = UpstreamState::kLeaving;
-  ApplyPlatformList(membership, caught_up, now);
-  EXPECT_EQ(membership.upstreams.at("e1").state, UpstreamState::kLeaving);
-  ApplyPlatformList(membership, list, now + absl::Seconds(1));
+}
+
+// Guards against a list that goes back to an earlier state after it has caught up: seen in fault_matrix, seed
+// 14, upstream_leaves+list_lags/hosts:160:232, where the upstream got new work again. Also against an
+// upstream that comes back to life and stays excluded for longer than the list may lag.
+TEST(Upstreams, AListThatGoesBackDoesNotReviveALeavingUpstream) {
+  const absl::Time start = absl::FromUnixSeconds(1000);
+  Membership membership = OneHost(start);
+  PlatformList live;
+  live.upstreams = {{"e1", UpstreamKind::kEngine, "m", "a", {"10.0.0.1", 1}, UpstreamState::kLive}};
+  PlatformList leaving = live;
+  leaving.upstreams[0].state = UpstreamState::kLeaving;
+  const PlatformList gone;
+  ObserveUpstream(membership, "e1", UpstreamState::kLeaving, start);
+  for (const PlatformList& caught_up : {leaving, gone}) {
+    ApplyPlatformList(membership, caught_up, start + absl::Seconds(2));
+    ApplyPlatformList(membership, live, start + membership.limits.list_lag - absl::Seconds(1));
+    EXPECT_EQ(membership.upstreams.at("e1").state, UpstreamState::kLeaving);
+  }
+  ApplyPlatformList(membership, live, start + membership.limits.list_lag);
   EXPECT_EQ(membership.upstreams.at("e1").state, UpstreamState::kLive);
 }
 
