Answer a repeated configuration change as it stands in the table

Cause: a host that was paused after its conditional write took a row with the change's write id for its own write and answered with the document that it had tried to write. Change: the row's document is returned.

--- a/src/contracts/config.cc
+++ b/src/contracts/config.cc
@@ -189,7 +189,10 @@
   // The answer was lost and the next change came before the read-back: it names this one as its predecessor.
   const bool superseded =
       other.document.version == document.version + 1 && other.document.previous_hash == HashOf(document);
-  if (other.write_id == change.write_id || superseded) return document;
+  // Not `document`: this host may have been paused while the operator, after a conflict, repeated the change
+  // with another predecessor, so that the row holds a later version than this host tried to write.
+  if (other.write_id == change.write_id) return other.document;
+  if (superseded) return document;
   if (!Ok(outcome)) return Fail(ErrorOf(outcome));
   return ConflictWith(other.document);
 }
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -83,6 +83,24 @@
   EXPECT_EQ(Value(superseded).version, 2);
 }
 
+// Guards against a host that was paused after its write and answers with what it tried to write: meanwhile
+// another operator's change was accepted, and the first operator repeated his with a new predecessor. Seen in
+// fault_matrix, seed 73519, operator_races+host_pauses/hosts:13:20.
+TEST_F(ConfigTest, ARepeatedChangeIsReportedAsItStandsInTheTable) {
+  TablePort paused = table;
+  paused.commit = [&](const TableTxn& txn) -> leaf::result<TxnOutcome> {
+    EXPECT_TRUE(Ok(Propose(table, Change(0, 2000, "rival"))));
+    BOOST_LEAF_AUTO(outcome, table.commit(txn));
+    EXPECT_FALSE(outcome.committed);
+    EXPECT_TRUE(Ok(Propose(table, Change(1, 1000, "w1"))));
+    return outcome;
+  };
+  const Outcome<ConfigDocument> answer = Propose(paused, Change(0, 1000, "w1"));
+  ASSERT_TRUE(Ok(answer));
+  EXPECT_EQ(Value(answer).version, 2);
+  EXPECT_EQ(TableVersion(), 2);
+}
+
 TEST_F(ConfigTest, RefusesExceptionsWithoutReasonAndContradictions) {
   ConfigChange change = Change(0, 1000, "w1");
   change.exceptions = {{"", "job/clues", {{"slice_tokens", 8}}, ""}};
