--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -583,7 +583,7 @@
     progress.since_start = now - it.started;
     progress.events_here = it.events_in_run;
     progress.decisive = IsDecisive(job, it);
-    // Most runs are judged by these alone, without a choice of another engine.
+    // Spares most runs the choice of another engine.
     if (!progress.decisive && progress.since_start < kLeastRunBeforeMove) continue;
     ItemChoice choice = MakeChoice(job, it, *route);
     choice.excluded = {it.upstream};
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -36,8 +36,9 @@
 constexpr absl::Duration kFirstEventLate = absl::Milliseconds(120);  // a prompt is read in 30 ms
 constexpr double kDecisiveFactor = 1.4;       // between a move's gain and its cost over half a second
 constexpr double kDecisivePaceFactor = 1.15;  // engines of one service differ by a third
-constexpr absl::Duration kFreshLoad = absl::Milliseconds(100);
-constexpr absl::Duration kMuteAfter = absl::Milliseconds(150);
+constexpr absl::Duration kFreshLoad = absl::Milliseconds(100);  // a neighbour's burst lasts for half a second
+constexpr absl::Duration kMuteAfter =
+    absl::Milliseconds(150);  // the longest connect and answer between zones
 constexpr absl::Duration kSilenceFloor =
     absl::Milliseconds(600);           // weights loads pause a stream for longer than noise
 constexpr double kSilenceFactor = 12;  // times the usual gap
