--- a/include/oleander/metrics.h
+++ b/include/oleander/metrics.h
@@ -30,8 +30,17 @@
 inline constexpr int kRetryReasonCount = 10;
 std::string_view NameOf(RetryReason reason);
 
-enum class LatencyKind { kLookup, kReceipt, kInteractive, kFirstToken, kBatchWait, kTableCommit, kPeerCall };
-inline constexpr int kLatencyKindCount = 7;
+enum class LatencyKind {
+  kLookup,
+  kReceipt,
+  kInteractive,
+  kFirstToken,
+  kBatchWait,
+  kTableCommit,
+  kPeerCall,
+  kScoring  // from the whole text to its score
+};
+inline constexpr int kLatencyKindCount = 8;
 std::string_view NameOf(LatencyKind kind);
 
 enum class Gauge {
--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -6,6 +6,7 @@
 //   Directory      the routes, services and upstreams that are known at this moment
 //   Frontend       idempotent and non-idempotent requests, answered by one upstream
 //   BatchService   batch jobs: accepted durably, run by one owner, readable at every host
+//   ScoringCalls   calls that rate the texts of items, beside the lookups of the same service
 //   WeightsControl moves engines to the versions that trainers name, from one holder
 //
 // The ports (Loop, Store, UpstreamLink) are interfaces, so that tests run the core on a manual clock with
@@ -208,7 +209,7 @@
   std::string reason;                   //
   std::string request_id;               // echoed; empty if absent
   bool not_run = false;                 // the upstream states that it did not run the request
-  bool signed_answer = false;           // has the upstream's signature
+  std::string signature;                // of the upstream; empty: the answer is unsigned
   bool framed = true;                   // false: the answer ends with its connection
   std::optional<std::int64_t> weights;  // version of the weights that run it
   std::optional<ReportedLoad> load;     //
@@ -218,6 +219,7 @@
   kNotSent,   // no byte of the request left this host
   kBroken,    // the connection ended or the answer was not in the protocol; it may have run
   kTimedOut,  // it may have run
+  kTooLarge,  // the answer went over a limit and the connection was closed; it may have run
 };
 std::string_view NameOf(CallEnd end);
 
@@ -234,7 +236,8 @@
   std::optional<std::int64_t> resume_after;  // last event that is already here
   absl::Duration timeout = absl::InfiniteDuration();          // for the whole call
   absl::Duration silence_timeout = absl::InfiniteDuration();  // without a byte from the upstream
-  bool fresh_connection = false;  // do not reuse one: the request must not be sent twice
+  bool fresh_connection = false;          // do not reuse one: the request must not be sent twice
+  std::size_t max_body_bytes = 32 << 20;  // of the answer; more ends the call as kTooLarge
 };
 struct CallHandlers {
   std::function<void(const AnswerHead&)> on_head;  //
@@ -282,14 +285,23 @@
 
 // ---- Batch jobs -------------------------------------------------------------------------------------------
 
+// Rates the text of an item. Sent as a POST through the route of its host and target once the text is whole;
+// may be repeated.
+struct ScoringRequest {
+  std::string id;      // also the request id
+  std::string host;    //
+  std::string target;  //
+  std::string body;    // bytes
+};
 struct BatchItem {
-  std::string id;           // also the request id of its runs
-  std::string target;       //
-  Headers headers;          //
-  std::string body;         // bytes
-  std::string group;        // items of a group share their prompt
-  std::int64_t tokens = 0;  // prompt and largest output
-  double length_hint = 0;   // expected output tokens; 0: none given
+  std::string id;                         // also the request id of its runs
+  std::string target;                     //
+  Headers headers;                        //
+  std::string body;                       // bytes
+  std::string group;                      // items of a group share their prompt
+  std::int64_t tokens = 0;                // prompt and largest output
+  double length_hint = 0;                 // expected output tokens; 0: none given
+  std::optional<ScoringRequest> scoring;  // none: the item is listed as soon as its text is whole
 };
 struct BatchSubmission {
   std::string id;                // of the job
@@ -307,6 +319,7 @@
   ItemState state = ItemState::kCompleted;  //
   std::string output;                       // data of all events, separated by line feeds
   std::vector<std::int64_t> versions;       // that produced an event of it, ascending
+  std::string score;  // signature of the scoring answer; empty: no scoring was asked for
 };
 enum class BatchOutcome {
   kOk,
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 58> kEventNames = {{
+constexpr std::array<EventName, 61> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -63,6 +63,7 @@
     {LogEvent::kUpstreamListed, "upstream_listed"},
     {LogEvent::kUpstreamRemoved, "upstream_removed"},
     {LogEvent::kEntryUnreadable, "entry_unreadable"},
+    {LogEvent::kAnswerTooLarge, "answer_too_large"},
     {LogEvent::kFeedRestarted, "feed_restarted"},
     {LogEvent::kStoreAnswerUnexpected, "store_answer_unexpected"},
     {LogEvent::kRecordUnreadable, "record_unreadable"},
@@ -76,6 +77,8 @@
     {LogEvent::kCheckpointFailed, "checkpoint_failed"},
     {LogEvent::kAssignmentFailed, "assignment_failed"},
     {LogEvent::kItemMoved, "item_moved"},
+    {LogEvent::kItemScored, "item_scored"},
+    {LogEvent::kScoringAttemptFailed, "scoring_attempt_failed"},
     {LogEvent::kBatchRefused, "batch_refused"},
     {LogEvent::kBatchRemoved, "batch_removed"},
     {LogEvent::kWeightsOrdered, "weights_ordered"},
--- a/src/hosts/metrics.cc
+++ b/src/hosts/metrics.cc
@@ -19,7 +19,7 @@
     "peer_unreachable", "hedge",           "stale_sample",     "unlabelled_sample",
     "scoring_failed",   "budget_exhausted"};
 constexpr std::array<std::string_view, kLatencyKindCount> kLatencyNames = {
-    "lookup", "receipt", "interactive", "first_token", "batch_wait", "table_commit", "peer_call"};
+    "lookup", "receipt", "interactive", "first_token", "batch_wait", "table_commit", "peer_call", "scoring"};
 constexpr std::array<std::string_view, kGaugeCount> kGaugeNames = {
     "streams",   "queued",       "members_alive", "config_version", "config_unconfirmed",
     "jobs_held", "zone_cut_off", "store_down"};
--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -29,6 +29,7 @@
   std::int64_t last_event = 0;
   std::set<std::int64_t> versions;
   std::int64_t checkpointed_events = 0;
+  bool checkpointed_whole = false;
   bool has_partial_row = false;
   int failures = 0;  // answers that say that the attempt failed
   absl::Time not_before = absl::InfinitePast();
@@ -44,9 +45,14 @@
   int events_in_run = 0;
   absl::Time next_question = absl::InfinitePast();  // for the loads of its upstream and of another
   AnswerHead head;
+  absl::Time head_at;        // or the start of the run
   std::int64_t version = 0;  // of the weights at this moment
   EventStreamReader reader;
   int unframed_ends = 0;  // answers without a length that ended in good order
+  // From the end of the text on.
+  ScoringId scoring = 0;  // call in progress
+  absl::Time text_whole = absl::InfiniteFuture();
+  std::string score;  // signature of the scoring answer
 };
 
 struct BatchService::Job {
--- a/src/serving/batch_records.cc
+++ b/src/serving/batch_records.cc
@@ -12,6 +12,11 @@
 using Json = nlohmann::json;
 
 constexpr int kSubmissionFormat = 1;
+// Places of fields that records of versions before 0.3 do not have.
+constexpr std::size_t kScoringField = 7;          // of an item
+constexpr std::size_t kScoreField = 4;            // of a result
+constexpr std::size_t kWholeField = 5;            // of a text
+constexpr std::size_t kScoringFailuresField = 6;  // of a text
 
 std::string Pack(const Json& value) {
   std::string bytes;
@@ -67,8 +72,12 @@
     Json headers = Json::array();
     for (const HeaderField& field : it.headers)
       headers.push_back(Json::array({Binary(field.name), Binary(field.value)}));
-    items.push_back(Json::array(
-        {it.id, it.target, std::move(headers), Binary(it.body), it.group, it.tokens, it.length_hint}));
+    Json scoring;
+    if (it.scoring) {
+      scoring = Json::array({it.scoring->id, it.scoring->host, it.scoring->target, Binary(it.scoring->body)});
+    }
+    items.push_back(Json::array({it.id, it.target, std::move(headers), Binary(it.body), it.group, it.tokens,
+                                 it.length_hint, std::move(scoring)}));
   }
   return Pack(
       Json::array({kSubmissionFormat, submission.id, submission.host, submission.path, submission.step,
@@ -95,6 +104,11 @@
       item.group = it.at(4).get<std::string>();
       item.tokens = it.at(5).get<std::int64_t>();
       item.length_hint = it.at(6).get<double>();
+      if (it.size() > kScoringField && !it[kScoringField].is_null()) {
+        const Json& scoring = it[kScoringField];
+        item.scoring = ScoringRequest{scoring.at(0).get<std::string>(), scoring.at(1).get<std::string>(),
+                                      scoring.at(2).get<std::string>(), Text(scoring.at(3))};
+      }
       submission.items.push_back(std::move(item));
     }
     return submission;
@@ -102,8 +116,8 @@
 }
 
 std::string EncodeResult(const ItemResult& result) {
-  return Pack(
-      Json::array({result.item, static_cast<int>(result.state), Binary(result.output), result.versions}));
+  return Pack(Json::array({result.item, static_cast<int>(result.state), Binary(result.output),
+                           result.versions, Binary(result.score)}));
 }
 
 std::optional<ItemResult> DecodeResult(std::string_view bytes) {
@@ -113,13 +127,14 @@
     result.state = static_cast<ItemState>(value.at(1).get<int>());
     result.output = Text(value.at(2));
     result.versions = value.at(3).get<std::vector<std::int64_t>>();
+    if (value.size() > kScoreField) result.score = Text(value[kScoreField]);
     return result;
   });
 }
 
 std::string EncodePartial(const PartialText& partial) {
-  return Pack(Json::array(
-      {partial.item, Binary(partial.output), partial.events, partial.last_event, partial.versions}));
+  return Pack(Json::array({partial.item, Binary(partial.output), partial.events, partial.last_event,
+                           partial.versions, partial.whole, partial.scoring_failures}));
 }
 
 std::optional<PartialText> DecodePartial(std::string_view bytes) {
@@ -130,6 +145,10 @@
     partial.events = value.at(2).get<std::int64_t>();
     partial.last_event = value.at(3).get<std::int64_t>();
     partial.versions = value.at(4).get<std::vector<std::int64_t>>();
+    if (value.size() > kScoringFailuresField) {
+      partial.whole = value[kWholeField].get<bool>();
+      partial.scoring_failures = value[kScoringFailuresField].get<int>();
+    }
     return partial;
   });
 }
--- a/src/serving/batch_records.h
+++ b/src/serving/batch_records.h
@@ -46,6 +46,8 @@
   std::int64_t events = 0;             //
   std::int64_t last_event = 0;         // id of the last event in `output`
   std::vector<std::int64_t> versions;  //
+  bool whole = false;                  // the text has its end and waits for its score
+  int scoring_failures = 0;            // answers of the scoring call that said that it failed
 };
 std::string EncodePartial(const PartialText& partial);
 std::optional<PartialText> DecodePartial(std::string_view bytes);
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -1,6 +1,7 @@
 // Placement and runs of the items of batch jobs.
 #include <algorithm>
 #include <cmath>
+#include <memory>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -27,6 +28,7 @@
     8;  // one item in so many; hints find nine of ten of the longest there
 constexpr std::size_t kDecisiveWhenLeft = 3;    // the last third of the items is longer than usual
 constexpr std::int64_t kCheckpointEvents = 10;  // new events that are worth a write
+constexpr std::size_t kMaxTextBytes = 8 << 20;  // of one run's stream: far above any text of a sample
 constexpr int kUnframedEndsToBelieve = 2;       // ends without a length that agree
 
 }  // namespace
@@ -93,6 +95,7 @@
         const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
         const bool single_version = route != nullptr && route->single_version;
         int used = 0;
+        std::vector<std::pair<Item*, int>> whole;  // and failures of its scoring call
         for (std::size_t at = 0; at < reply.rows.size();) {
           const std::string key = reply.rows[at].id.key;
           const std::size_t before = at;
@@ -117,10 +120,14 @@
           item.last_event = partial->last_event;
           item.versions.insert(partial->versions.begin(), partial->versions.end());
           item.checkpointed_events = item.events;
+          item.checkpointed_whole = partial->whole;
           item.has_partial_row = true;
           ++used;
+          if (partial->whole) whole.push_back({&item, partial->scoring_failures});
         }
         if (used > 0) RankItems(job);
+        // A text that an earlier owner had whole is not generated again.
+        for (const std::pair<Item*, int>& it : whole) FinishText(job, *it.first, it.second);
         LogEventLine(LogLevel::kInfo, LogEvent::kBatchOwned,
                      {{"job", id},
                       {"total", job.lease.total},
@@ -131,53 +138,79 @@
       });
 }
 
-void BatchService::Checkpoint(Job& job, bool all, std::function<void()> done) {
-  Transaction transaction;
+// Transactions that keep the texts of items that are not listed yet: all of them, or only those that are
+// worth a write. With `all` the work of the job is stopped first, so that what is written is final.
+std::vector<Transaction> BatchService::MakeCheckpoint(Job& job, bool all) {
+  std::vector<Transaction> transactions(1);
   const std::string partition = PartialPartition(job);
   std::size_t bytes = 0;
+  const std::function<Transaction&(std::size_t, std::size_t)> room = [&](std::size_t rows,
+                                                                         std::size_t size) -> Transaction& {
+    Transaction& last = transactions.back();
+    const std::size_t used = last.writes.size() + last.removals.size();
+    if (used > 0 && (used + rows > kMaxRowsInCommit || bytes + size > settings_.max_commit_bytes)) {
+      transactions.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    return transactions.back();
+  };
   for (Item& it : job.items) {
     if (it.phase == Phase::kListed || it.events == 0 || it.versions.empty()) continue;
+    const bool whole = it.phase == Phase::kScoring;
     const std::int64_t fresh = it.events - it.checkpointed_events;
-    if (fresh < (all ? 1 : kCheckpointEvents)) continue;
+    const bool news = fresh > 0 || whole != it.checkpointed_whole;
+    const bool waits_long = whole && loop_.Now() - it.text_whole >= settings_.keep_whole_after;
+    if (!news || !(all || waits_long || (!whole && fresh >= kCheckpointEvents))) continue;
     PartialText partial;
     partial.item = it.spec.id;
     partial.output = it.output;
     partial.events = it.events;
     partial.last_event = it.last_event;
     partial.versions.assign(it.versions.begin(), it.versions.end());
+    partial.whole = whole;
+    partial.scoring_failures = scoring_.Failures(it.scoring);
     std::vector<RowWrite> rows =
         SplitIntoRows(kPartialTable, partition, it.spec.id, EncodePartial(partial), settings_.max_row_bytes);
-    if (bytes + it.output.size() > settings_.max_commit_bytes ||
-        transaction.writes.size() + rows.size() > kMaxRowsInCommit) {
-      break;
-    }
-    bytes += it.output.size();
+    Transaction& transaction = room(rows.size(), it.output.size());
     for (RowWrite& row : rows) transaction.writes.push_back(std::move(row));
     it.checkpointed_events = it.events;
+    it.checkpointed_whole = whole;
     it.has_partial_row = true;
   }
-  while (!job.partials_to_remove.empty() &&
-         transaction.writes.size() + transaction.removals.size() < kMaxRowsInCommit) {
-    transaction.removals.push_back({std::string(kPartialTable), partition, job.partials_to_remove.back()});
-    job.partials_to_remove.pop_back();
-  }
-  if (transaction.writes.empty() && transaction.removals.empty()) {
+  for (const std::string& key : job.partials_to_remove)
+    room(1, 0).removals.push_back({std::string(kPartialTable), partition, key});
+  job.partials_to_remove.clear();
+  if (transactions.back().writes.empty() && transactions.back().removals.empty()) transactions.pop_back();
+  return transactions;
+}
+
+void BatchService::Checkpoint(Job& job, bool all, std::function<void()> done) {
+  const std::string id = job.submission.id;
+  std::vector<Transaction> transactions = MakeCheckpoint(job, all);
+  if (all) StopWork(job);
+  if (transactions.empty()) {
     done();
     return;
   }
   job.checkpoint_in_flight = true;
-  const std::string id = job.submission.id;
-  store_.Commit(transaction, [this, id, done = std::move(done)](const StoreReply& reply) {
-    NoteStoreTime(reply);
-    if (reply.outcome != StoreOutcome::kOk) {
-      // Only work is lost: the texts are generated again.
-      LogEventLine(LogLevel::kWarning, LogEvent::kCheckpointFailed,
-                   {{"job", id}, {"store", NameOf(reply.outcome)}});
-    }
-    Job* const found = FindJob(id);
-    if (found != nullptr) found->checkpoint_in_flight = false;
-    done();
-  });
+  const std::shared_ptr<std::size_t> unanswered = std::make_shared<std::size_t>(transactions.size());
+  const std::shared_ptr<std::function<void()>> finished =
+      std::make_shared<std::function<void()>>(std::move(done));
+  for (const Transaction& it : transactions) {
+    store_.Commit(it, [this, id, unanswered, finished](const StoreReply& reply) {
+      NoteStoreTime(reply);
+      if (reply.outcome != StoreOutcome::kOk) {
+        // Only work is lost: the texts are generated again.
+        LogEventLine(LogLevel::kWarning, LogEvent::kCheckpointFailed,
+                     {{"job", id}, {"store", NameOf(reply.outcome)}});
+      }
+      if (--*unanswered > 0) return;
+      Job* const found = FindJob(id);
+      if (found != nullptr) found->checkpoint_in_flight = false;
+      (*finished)();
+    });
+  }
 }
 
 // ---- Paces ------------------------------------------------------------------------------------------------
@@ -229,14 +262,16 @@
     const bool due = (!job->pending.empty() && now >= job->last_commit + settings_.commit_every) ||
                      now >= job->last_commit + settings_.renew_every || job->handing_over;
     if (due && now >= job->retry_at) CommitResults(*job);
-    if (!job->frozen && !job->checkpoint_in_flight &&
-        now >= job->last_checkpoint + settings_.checkpoint_every) {
-      job->last_checkpoint = now;
-      Checkpoint(*job, false, [] {});
-      SharePaces(*job);
-    }
+    if (job->frozen || job->checkpoint_in_flight) continue;
+    const bool all_due = now >= job->last_checkpoint + settings_.checkpoint_every;
+    const bool whole_due = now >= job->last_checkpoint + settings_.keep_whole_after && WholeTextsToKeep(*job);
+    if (!all_due && !whole_due) continue;
+    job->last_checkpoint = now;
+    Checkpoint(*job, false, [] {});
+    if (all_due) SharePaces(*job);
   }
   Dispatch();
+  scoring_.Dispatch();
 }
 
 void BatchService::Dispatch() {
@@ -309,6 +344,7 @@
   item.last_progress = now;
   item.events_in_run = 0;
   item.head = {};
+  item.head_at = now;
   item.version = 0;
   item.reader = {};
 
@@ -323,6 +359,7 @@
   call.body = item.spec.body;
   if (item.events > 0) call.resume_after = item.last_event;
   call.silence_timeout = settings_.silence_limit;
+  call.max_body_bytes = kMaxTextBytes;
   CallHandlers handlers;
   handlers.on_head = [this, id, index, run](const AnswerHead& head) { OnRunHead(id, index, run, head); };
   handlers.on_body = [this, id, index, run](std::string_view bytes) { OnRunBytes(id, index, run, bytes); };
@@ -364,6 +401,7 @@
   item.last_event = 0;
   item.versions.clear();
   item.checkpointed_events = 0;
+  item.checkpointed_whole = false;
 }
 
 void BatchService::OnRunHead(const std::string& id, std::size_t index, std::uint64_t run,
@@ -373,6 +411,7 @@
   Job& job = *FindJob(id);
   const absl::Time now = loop_.Now();
   item->head = head;
+  item->head_at = now;
   UpstreamState* const upstream = directory_.Find(item->upstream);
   const bool own = head.request_id.empty() || head.request_id == item->spec.id;
   if (upstream != nullptr && own) ObserveHead(*upstream, head, job.submission.model, now);
@@ -456,7 +495,7 @@
     const bool believed = item->head.framed || item->unframed_ends >= kUnframedEndsToBelieve;
     if (!cut && item->events > 0 && believed) {
       if (upstream != nullptr) ObserveSuccess(*upstream);
-      ListItem(job, *item, ItemState::kCompleted);
+      FinishText(job, *item, 0);
     } else {
       Requeue(job, *item, absl::ZeroDuration(), cut ? "cut" : "unframed");
     }
@@ -482,12 +521,69 @@
   } else if (end == CallEnd::kComplete) {
     Requeue(job, *item, kUnexpectedPause, "unexpected_status");
   } else {
-    if (upstream != nullptr) ObserveFailure(*upstream, now);
+    if (upstream != nullptr && end == CallEnd::kTooLarge) {
+      ObserveNoAnswer(*upstream, end, now);
+    } else if (upstream != nullptr) {
+      ObserveFailure(*upstream, now);
+    }
     Requeue(job, *item, absl::ZeroDuration(), NameOf(end));
   }
   Dispatch();
 }
 
+// The text has its end: it is listed, or scored first.
+void BatchService::FinishText(Job& job, Item& item, int scoring_failures) {
+  if (!item.spec.scoring) {
+    ListItem(job, item, ItemState::kCompleted);
+    return;
+  }
+  StopRun(job, item);
+  job.waiting.erase(item.rank);
+  item.phase = Phase::kScoring;
+  item.text_whole = loop_.Now();
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  item.scoring =
+      scoring_.Start(*item.spec.scoring, scoring_failures, route == nullptr ? 1 : route->max_attempts,
+                     [this, id = job.submission.id, index = item.index](const ScoringOutcome& outcome) {
+                       OnScored(id, index, outcome);
+                     });
+}
+
+void BatchService::OnScored(const std::string& id, std::size_t index, const ScoringOutcome& outcome) {
+  Job* const job = FindJob(id);
+  if (job == nullptr || job->items[index].phase != Phase::kScoring) return;
+  Item& item = job->items[index];
+  item.scoring = 0;
+  LogEventLine(LogLevel::kInfo, LogEvent::kItemScored,
+               {{"job", id},
+                {"item", item.spec.id},
+                {"request", item.spec.scoring->id},
+                {"upstream", outcome.upstream},
+                {"scored", !outcome.score.empty()},
+                {"attempts", outcome.attempts},
+                {"failures", outcome.failures},
+                {"ms", absl::ToInt64Milliseconds(loop_.Now() - item.text_whole)}});
+  item.score = outcome.score;
+  ListItem(*job, item, outcome.score.empty() ? ItemState::kAbandoned : ItemState::kCompleted);
+}
+
+// Breaks off the runs and scoring calls of a job; its items keep their texts.
+void BatchService::StopWork(Job& job) {
+  for (Item& it : job.items) {
+    if (it.phase == Phase::kRunning) StopRun(job, it);
+    scoring_.Cancel(std::exchange(it.scoring, 0));
+  }
+}
+
+// Whole texts whose score takes longer than usual: losing them with this host would mean to generate them
+// again.
+bool BatchService::WholeTextsToKeep(const Job& job) const {
+  return std::any_of(job.items.begin(), job.items.end(), [this](const Item& it) {
+    return it.phase == Phase::kScoring && !it.checkpointed_whole &&
+           loop_.Now() - it.text_whole >= settings_.keep_whole_after;
+  });
+}
+
 void BatchService::ListItem(Job& job, Item& item, ItemState state) {
   LogEventLine(
       LogLevel::kInfo, LogEvent::kItemListed,
@@ -500,6 +596,7 @@
        {"since_start_ms", absl::ToInt64Milliseconds(loop_.Now() - std::min(item.first_started, loop_.Now()))},
        {"age_ms", absl::ToInt64Milliseconds(StoreNow() - job.lease.accepted_at)}});
   StopRun(job, item);
+  scoring_.Cancel(std::exchange(item.scoring, 0));
   job.waiting.erase(item.rank);
   item.phase = Phase::kListed;
   ItemResult result;
@@ -508,6 +605,7 @@
   if (state == ItemState::kCompleted) {
     result.output = std::move(item.output);
     result.versions.assign(item.versions.begin(), item.versions.end());
+    result.score = std::move(item.score);
   }
   item.output.clear();
   if (item.has_partial_row) job.partials_to_remove.push_back(item.spec.id);
@@ -578,6 +676,13 @@
   for (const std::size_t index : job.order) {
     Item& it = job.items[index];
     if (it.phase != Phase::kRunning) continue;
+    // Bytes that are no events do not keep a run alive.
+    if (now - std::max(it.last_progress, it.head_at) >= settings_.silence_limit) {
+      if (UpstreamState* const silent = directory_.Find(it.upstream)) ObserveFailure(*silent, now);
+      Requeue(job, it, absl::ZeroDuration(), "no_event");
+      moved = true;
+      continue;
+    }
     RunProgress progress;
     progress.since_last_event = now - it.last_progress;
     progress.since_start = now - it.started;
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -39,7 +39,12 @@
 
 BatchService::BatchService(Loop& loop, Store& store, UpstreamLink& link, Directory& directory,
                            BatchSettings settings)
-    : loop_(loop), store_(store), link_(link), directory_(directory), settings_(std::move(settings)) {}
+    : loop_(loop),
+      store_(store),
+      link_(link),
+      directory_(directory),
+      settings_(std::move(settings)),
+      scoring_(loop, link, directory, settings_.zone) {}
 BatchService::~BatchService() = default;
 
 int BatchService::RunningItems() const {
@@ -623,9 +628,6 @@
 // The job was ended: what runs is stopped, and its text kept for a later job with the same items.
 void BatchService::Finish(Job& job) {
   const std::string id = job.submission.id;
-  for (Item& it : job.items) {
-    if (it.phase == Phase::kRunning) StopRun(job, it);
-  }
   Checkpoint(job, true, [] {});
   Drop(id, "ended");
 }
@@ -634,9 +636,7 @@
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   Job& job = *it->second;
-  for (Item& item : job.items) {
-    if (item.phase == Phase::kRunning) StopRun(job, item);
-  }
+  StopWork(job);
   LogEventLine(LogLevel::kInfo, LogEvent::kBatchReleased,
                {{"job", id}, {"reason", reason}, {"listed", job.lease.listed}, {"total", job.lease.total}});
   jobs_.erase(it);
@@ -647,9 +647,6 @@
   const absl::Time give_up = loop_.Now() + kHandOverPatience;
   for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) {
     Job& job = *it.second;
-    for (Item& item : job.items) {
-      if (item.phase == Phase::kRunning) StopRun(job, item);
-    }
     const std::string id = it.first;
     job.frozen = true;
     Checkpoint(job, true, [this, id] {
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -31,6 +31,7 @@
 #include "serving/directory.h"
 #include "serving/event_stream.h"
 #include "serving/model_owners.h"
+#include "serving/scoring.h"
 #include "serving/store_clock.h"
 
 namespace oleander::serving {
@@ -43,6 +44,7 @@
   absl::Duration renew_every = absl::Milliseconds(300);        // also bounds how late an end is noticed
   absl::Duration commit_every = absl::Milliseconds(40);        // results gather for so long
   absl::Duration checkpoint_every = absl::Milliseconds(1000);  // texts of running items
+  absl::Duration keep_whole_after = absl::Milliseconds(100);   // whole texts that wait for their score
   absl::Duration poll_every = absl::Milliseconds(60);          // store reads of a waiting reader
   absl::Duration silence_limit = absl::Milliseconds(2500);     // a run without a byte is broken off
   absl::Duration accept_patience = absl::Milliseconds(1500);   // of a submission while the store refuses
@@ -77,6 +79,8 @@
   // are not taken over until the store has answered for a while, so that living owners renew them first.
   void NoteStoreAway() { read_failed_at_ = loop_.Now(); }
   void Sweep();
+  // While this host does not reach the store, scoring calls go to upstreams of its own zone first.
+  void SetZoneAlone(bool alone) { scoring_.SetZoneAlone(alone); }
   bool Busy() const { return !jobs_.empty(); }
   // Accepts nothing and takes nothing over from now on.
   void StopAccepting() { accepting_ = false; }
@@ -87,7 +91,7 @@
   int WaitingItems() const;
 
  private:
-  enum class Phase { kWaiting, kRunning, kListed };
+  enum class Phase { kWaiting, kRunning, kScoring, kListed };
   struct Item;
   struct Job;
   struct Accepting;
@@ -123,6 +127,10 @@
   void OnRunBytes(const std::string& job, std::size_t item, std::uint64_t run, std::string_view bytes);
   void OnRunEnd(const std::string& job, std::size_t item, std::uint64_t run, CallEnd end);
   void StopRun(Job& job, Item& item);
+  void FinishText(Job& job, Item& item, int scoring_failures);
+  void OnScored(const std::string& job, std::size_t item, const ScoringOutcome& outcome);
+  void StopWork(Job& job);
+  bool WholeTextsToKeep(const Job& job) const;
   void Requeue(Job& job, Item& item, absl::Duration pause, std::string_view reason);
   void ListItem(Job& job, Item& item, ItemState state);
   void DropText(Item& item);
@@ -134,6 +142,7 @@
   void CommitResults(Job& job);
   void OnResultsCommitted(const std::string& id, const StoreReply& reply);
   void Checkpoint(Job& job, bool all, std::function<void()> done);
+  std::vector<Transaction> MakeCheckpoint(Job& job, bool all);
   void Drop(const std::string& id, std::string_view reason);
   absl::Duration StoreNow() const;
   void NoteStoreTime(const StoreReply& reply);
@@ -157,6 +166,7 @@
   absl::Time read_failed_at_ = absl::InfinitePast();  // the last time the store did not answer
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::set<std::string> taking_over_;
+  ScoringCalls scoring_;
 };
 
 }  // namespace oleander::serving
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -38,7 +38,20 @@
 constexpr double kDecisivePaceFactor = 1.15;  // engines of one service differ by a third
 constexpr absl::Duration kFreshLoad = absl::Milliseconds(100);  // a neighbour's burst lasts for half a second
 constexpr absl::Duration kMuteAfter =
-    absl::Milliseconds(150);  // the longest connect and answer between zones
+    absl::Milliseconds(150);              // the longest connect and answer between zones
+constexpr double kLookupShare = 1.0 / 3;  // of an upstream's slots that scoring calls leave to lookups
+constexpr double kLastAttemptMs = 50;     // an upstream that has just failed the call, against the others
+constexpr double kLimitCut = 0.67;
+constexpr double kLeastLimit = 1;
+constexpr double kMostLimit = 64;      // above any use: a step's texts do not end all at once
+constexpr double kUsualWeight = 0.05;  // of a new answer time in the average
+constexpr double kSlowAnswer = 4;      // times the average; single answers take three times as long
+constexpr absl::Duration kCutGap = absl::Milliseconds(200);  // between two cuts: one round of calls
+constexpr absl::Duration kFailedScoringPause = absl::Milliseconds(50);
+constexpr absl::Duration kFirstScoringPause = absl::Milliseconds(30);
+constexpr absl::Duration kLongestScoringPause = absl::Seconds(1);
+constexpr int kMostPauseDoublings = 5;
+constexpr int kMisdirected = 421;  // RFC 9110: the request was not run there
 constexpr absl::Duration kSilenceFloor =
     absl::Milliseconds(600);           // weights loads pause a stream for longer than noise
 constexpr double kSilenceFactor = 12;  // times the usual gap
@@ -52,6 +65,26 @@
   return std::find(list.begin(), list.end(), value) != list.end();
 }
 
+// Expected answer time of a call that is placed there now, in milliseconds.
+double ExpectedLatency(const UpstreamState& upstream, double usual, absl::Time now) {
+  const double fresh = upstream.latency_ms <= 0 ? 0 : Freshness(upstream.latency_at, now, kLatencyMemory);
+  const double latency = usual + (upstream.latency_ms - usual) * fresh;
+  const double slots = std::max(1, upstream.entry.slots);
+  return std::max(1.0, latency) * (1 + EstimateRunning(upstream, now) / slots);
+}
+
+// Mean of the known answer times.
+double UsualLatency(const std::vector<UpstreamState*>& usable) {
+  double sum = 0;
+  int known = 0;
+  for (const UpstreamState* it : usable) {
+    if (it->latency_ms <= 0) continue;
+    sum += it->latency_ms;
+    ++known;
+  }
+  return known == 0 ? kDefaultLatencyMs : sum / known;
+}
+
 }  // namespace
 
 std::uint64_t HashText(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
@@ -64,23 +97,48 @@
   return upstream.in_flight + others;
 }
 
-UpstreamState* PickUnary(const std::vector<UpstreamState*>& usable, const UnaryChoice& choice) {
-  double sum = 0;
-  int known = 0;
-  for (const UpstreamState* it : usable) {
-    if (it->latency_ms <= 0) continue;
-    sum += it->latency_ms;
-    ++known;
+std::string_view NameOf(AttemptVerdict verdict) {
+  switch (verdict) {
+    case AttemptVerdict::kAnswered:
+      return "answered";
+    case AttemptVerdict::kFailed:
+      return "failed";
+    case AttemptVerdict::kNotRun:
+      return "not_run";
+    case AttemptVerdict::kNoAnswer:
+      return "no_answer";
+  }
+  return "";
+}
+
+AttemptVerdict JudgeAttempt(CallEnd end, const AnswerHead& head, std::string_view request_id) {
+  const bool success = head.status >= 200 && head.status < 300;
+  const bool foreign = head.request_id.empty() ? success : head.request_id != request_id;
+  if (end != CallEnd::kComplete || foreign || (success && head.signature.empty()))
+    return AttemptVerdict::kNoAnswer;
+  if (head.not_run || head.status == kMisdirected) return AttemptVerdict::kNotRun;
+  return head.status < 500 ? AttemptVerdict::kAnswered : AttemptVerdict::kFailed;
+}
+
+std::string ChooseService(const Route& route, std::string_view id) {
+  double total = 0;
+  for (const WeightedService& it : route.services) total += std::max(0.0, it.weight);
+  if (total <= 0) return route.services.empty() ? "" : route.services.front().service;
+  double point = static_cast<double>(HashText(id) >> 11) / static_cast<double>(1ULL << 53) * total;
+  for (const WeightedService& it : route.services) {
+    point -= std::max(0.0, it.weight);
+    if (point < 0) return it.service;
   }
-  const double usual = known == 0 ? kDefaultLatencyMs : sum / known;
+  return route.services.back().service;
+}
+
+UpstreamState* PickUnary(const std::vector<UpstreamState*>& usable, const UnaryChoice& choice) {
+  const double usual = UsualLatency(usable);
   UpstreamState* best = nullptr;
   double best_cost = 0;
   for (UpstreamState* it : usable) {
     if (Contains(choice.tried, it->entry.id)) continue;
-    const double fresh = it->latency_ms <= 0 ? 0 : Freshness(it->latency_at, choice.now, kLatencyMemory);
-    const double latency = usual + (it->latency_ms - usual) * fresh;
-    const double slots = std::max(1, it->entry.slots);
-    double cost = std::max(1.0, latency) * (1 + EstimateRunning(*it, choice.now) / slots);
+    double cost = ExpectedLatency(*it, usual, choice.now);
     if (it->entry.zone != choice.zone) cost += choice.zone_alone ? kCutOffZoneMs : kOtherZoneMs;
     // An upstream that is being avoided is taken only if no other is left.
     if (choice.now < it->avoid_until) cost += 1e6 + absl::ToDoubleMilliseconds(it->avoid_until - choice.now);
@@ -92,6 +150,48 @@
   return best;
 }
 
+UpstreamState* PickForScoring(const std::vector<UpstreamState*>& usable, const ScoringChoice& choice) {
+  const double usual = UsualLatency(usable);
+  UpstreamState* best = nullptr;
+  double best_cost = 0;
+  for (UpstreamState* it : usable) {
+    if (it->entry.id == choice.excluded || choice.now < it->avoid_until) continue;
+    const int slots = std::max(1, it->entry.slots);
+    const int kept = static_cast<int>(slots * kLookupShare);
+    if (EstimateRunning(*it, choice.now) >= std::max(1, slots - kept)) continue;
+    double cost = ExpectedLatency(*it, usual, choice.now);
+    if (it->entry.zone != choice.zone) cost += choice.zone_alone ? kCutOffZoneMs : kOtherZoneMs;
+    if (it->entry.id == choice.avoided) cost += kLastAttemptMs;
+    if (best == nullptr || cost < best_cost) {
+      best = it;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+void LearnScoringLimit(ScoringLimit& limit, ScoringSign sign, absl::Duration took, absl::Time now) {
+  const double ms = absl::ToDoubleMilliseconds(took);
+  const bool slow = limit.usual_ms > 0 && ms > kSlowAnswer * limit.usual_ms;
+  if (sign == ScoringSign::kAnswered) {
+    limit.usual_ms = limit.usual_ms == 0 ? ms : limit.usual_ms + kUsualWeight * (ms - limit.usual_ms);
+    if (!slow) {
+      limit.most = std::min(kMostLimit, limit.most + 1 / limit.most);
+      return;
+    }
+  }
+  if (now - limit.cut_at < kCutGap) return;
+  limit.most = std::max(kLeastLimit, limit.most * kLimitCut);
+  limit.cut_at = now;
+}
+
+absl::Duration ScoringPause(ScoringSign sign, int attempts) {
+  if (sign == ScoringSign::kAnswered) return kFailedScoringPause;  // it ran and failed; others may not
+  if (sign == ScoringSign::kSilent && attempts <= 1) return absl::ZeroDuration();
+  return std::min(kLongestScoringPause,
+                  kFirstScoringPause * (1 << std::min(std::max(0, attempts - 1), kMostPauseDoublings)));
+}
+
 absl::Duration HedgeAfter(absl::Duration objective) { return objective * kHedgeShare; }
 
 double RetryAfterSeconds(absl::Duration time_left, std::string_view spread) {
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -13,6 +13,20 @@
 
 namespace oleander::serving {
 
+// ---- Answers ----------------------------------------------------------------------------------------------
+
+enum class AttemptVerdict {
+  kAnswered,  // the upstream's own whole answer, below status 500
+  kFailed,    // it ran the request and says that it failed
+  kNotRun,    // it states that it did not run the request
+  kNoAnswer,  // nothing that can be used: broken, late, of another request, or a success without signature
+};
+std::string_view NameOf(AttemptVerdict verdict);
+AttemptVerdict JudgeAttempt(CallEnd end, const AnswerHead& head, std::string_view request_id);
+
+// The service of a split route, chosen by the request's id, so that a repeated choice is the same; "": none.
+std::string ChooseService(const Route& route, std::string_view id);
+
 // ---- Unary calls ------------------------------------------------------------------------------------------
 
 struct UnaryChoice {
@@ -37,6 +51,36 @@
 // A hash that all hosts compute alike.
 std::uint64_t HashText(std::string_view text);
 
+// ---- Scoring calls ----------------------------------------------------------------------------------------
+
+struct ScoringChoice {
+  bool zone_alone = false;  // this host does not reach the store: other zones are probably cut off too
+  std::string zone;         // of this host
+  std::string avoided;      // upstream of the last attempt; empty: none
+  std::string excluded;     // upstream that has the call now; empty: none
+  absl::Time now;           //
+};
+// The upstream with the lowest expected answer time that has a slot left for calls nobody waits for, or
+// nullptr: the call waits here. Load answered: the texts of a step end together while callers' lookups use
+// the same few slots; a third of each upstream's slots stays free for lookups, so that a burst of calls
+// queues at the owner and not in front of a caller.
+UpstreamState* PickForScoring(const std::vector<UpstreamState*>& usable, const ScoringChoice& choice);
+
+// How many scoring calls one host keeps in progress: grows by one for each round of answers in good time,
+// shrinks by a third when upstreams refuse, fall silent or become slow.
+struct ScoringLimit {
+  double most = 8;                           // calls; the usual need of one model's step
+  absl::Time cut_at = absl::InfinitePast();  // the last time it shrank
+  double usual_ms = 0;                       // slow average of the answer times; 0: none yet
+};
+enum class ScoringSign { kAnswered, kRefused, kSilent };
+// Load answered: several owners whose calls meet at the same upstreams, or an upstream service that turns
+// slow: each owner backs off by what it sees, without asking the others. One cut for each round of calls.
+void LearnScoringLimit(ScoringLimit& limit, ScoringSign sign, absl::Duration took, absl::Time now);
+
+// The wait before a scoring call is sent again: longer with each attempt, up to a second.
+absl::Duration ScoringPause(ScoringSign sign, int attempts);
+
 // ---- Items of batch jobs ----------------------------------------------------------------------------------
 
 struct ItemChoice {
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -16,6 +16,9 @@
 constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(150);
 constexpr absl::Duration kLongestAvoidance = absl::Seconds(2);
 constexpr int kMostDoublings = 4;
+constexpr absl::Duration kRefusedPause =
+    absl::Milliseconds(60);  // an upstream that says it is full, before it gets more
+constexpr absl::Duration kUnreachablePause = absl::Seconds(1);  // an upstream that takes no connection
 
 }  // namespace
 
@@ -145,6 +148,17 @@
   upstream.avoid_until = now + std::min(kLongestAvoidance, kFirstAvoidance * (1 << doublings));
 }
 
+void ObserveRefusal(UpstreamState& upstream, absl::Time now) {
+  upstream.avoid_until = std::max(upstream.avoid_until, now + kRefusedPause);
+}
+
+void ObserveNoAnswer(UpstreamState& upstream, CallEnd end, absl::Time now) {
+  ObserveFailure(upstream, now);
+  if (end == CallEnd::kNotSent)
+    upstream.avoid_until = std::max(upstream.avoid_until, now + kUnreachablePause);
+  if (end == CallEnd::kTooLarge) upstream.avoid_until = now + kLongestAvoidance;
+}
+
 void ObserveSuccess(UpstreamState& upstream) {
   upstream.failures_in_row = 0;
   upstream.avoid_until = absl::InfinitePast();
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -81,6 +81,10 @@
 void LearnPace(UpstreamState& upstream, double pace_ms);
 // A call failed or was refused: avoid the upstream for a time that grows with each failure in a row.
 void ObserveFailure(UpstreamState& upstream, absl::Time now);
+// The upstream said that it did not run a request: it is full for a moment.
+void ObserveRefusal(UpstreamState& upstream, absl::Time now);
+// A call ended without an answer that can be used.
+void ObserveNoAnswer(UpstreamState& upstream, CallEnd end, absl::Time now);
 void ObserveSuccess(UpstreamState& upstream);
 
 }  // namespace oleander::serving
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -11,27 +11,7 @@
 #include "serving/decisions.h"
 
 namespace oleander::serving {
-namespace {
-
-constexpr absl::Duration kRefusedPause =
-    absl::Milliseconds(60);  // an upstream that says it is full, before it gets more
-
-constexpr absl::Duration kUnreachablePause = absl::Seconds(1);  // an upstream that takes no connection
-
-// The service of a split route, chosen by the request's id, so that a repeated choice is the same.
-std::string ChooseService(const Route& route, const std::string& id) {
-  double total = 0;
-  for (const WeightedService& it : route.services) total += std::max(0.0, it.weight);
-  if (total <= 0) return route.services.empty() ? "" : route.services.front().service;
-  double point = static_cast<double>(HashText(id) >> 11) / static_cast<double>(1ULL << 53) * total;
-  for (const WeightedService& it : route.services) {
-    point -= std::max(0.0, it.weight);
-    if (point < 0) return it.service;
-  }
-  return route.services.back().service;
-}
-
-}  // namespace
+namespace {}  // namespace
 
 struct Frontend::Attempt {
   std::string upstream;  // id
@@ -169,13 +149,10 @@
   if (upstream != nullptr) --upstream->in_flight;
 
   const AnswerHead& head = attempt.head;
-  const bool success = head.status >= 200 && head.status < 300;
-  // An answer to another request, or a success without signature, is not this request's answer.
-  const bool foreign = head.request_id.empty() ? success : head.request_id != exchange.request.id;
-  const bool whole = end == CallEnd::kComplete && !foreign && !(success && !head.signed_answer);
-  if (whole && !head.not_run && head.status != 421) {
+  const AttemptVerdict verdict = JudgeAttempt(end, head, exchange.request.id);
+  if (verdict == AttemptVerdict::kAnswered || verdict == AttemptVerdict::kFailed) {
     if (upstream != nullptr) ObserveLatency(*upstream, now - attempt.started, now);
-    if (success || head.status < 500) {
+    if (head.status < 500) {
       if (upstream != nullptr) ObserveSuccess(*upstream);
       Deliver(exchange, attempt);
       return;
@@ -192,19 +169,15 @@
                 {"end", NameOf(end)},
                 {"status", head.status},
                 {"not_run", head.not_run},
-                {"foreign", foreign},
+                {"verdict", NameOf(verdict)},
                 {"ms", absl::ToInt64Milliseconds(now - attempt.started)}});
-  if (whole) {  // stated as not run
+  if (verdict == AttemptVerdict::kNotRun) {
     CountRetry(GlobalMetrics(), RetryReason::kUpstreamRefused);
-    if (upstream != nullptr) upstream->avoid_until = std::max(upstream->avoid_until, now + kRefusedPause);
+    if (upstream != nullptr) ObserveRefusal(*upstream, now);
     RetryOrFail(exchange, ErrorKind::kUpstreamRefused);
     return;
   }
-  if (upstream != nullptr) {
-    ObserveFailure(*upstream, now);
-    if (end == CallEnd::kNotSent)
-      upstream->avoid_until = std::max(upstream->avoid_until, now + kUnreachablePause);
-  }
+  if (upstream != nullptr) ObserveNoAnswer(*upstream, end, now);
   if (end != CallEnd::kNotSent) ++exchange.may_have_run;
   RetryOrFail(exchange, end == CallEnd::kTimedOut ? ErrorKind::kUpstreamTimeout : ErrorKind::kUpstreamFailed);
 }
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -7,9 +7,12 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 #include <optional>
 #include <utility>
 
+#include "oleander/log_events.h"
+#include "oleander/metrics.h"
 #include "serving/http_address.h"
 #include "serving/text.h"
 
@@ -24,7 +27,7 @@
 constexpr std::string_view kIdleTimeoutField = "timeout=";  // of a Keep-Alive header
 constexpr std::size_t kReadBytes =
     8 << 10;  // asked for in one read; the library's default of 512 splits each event
-constexpr std::uint32_t kMaxAnswerHeaderBytes = 64 << 10;
+constexpr int kSwitchingProtocols = 101;                              // never asked for
 constexpr absl::Duration kKeepAliveMargin = absl::Milliseconds(500);  // before the peer's own idle timeout
 
 // The idle timeout that the peer states in Keep-Alive, or `fallback`.
@@ -57,6 +60,11 @@
   bool write_started = false;
   bool write_done = false;
   bool head_reported = false;
+  bool head_request = false;  // its answer has no body
+  std::size_t max_body_bytes = 0;
+  bool over_limit = false;         // the parser found more than `max_body_bytes`
+  std::size_t received_bytes = 0;  // of the answer, as they came
+  std::size_t body_bytes = 0;      // delivered
   absl::Duration connect_timeout;
   absl::Duration silence_timeout;
   absl::Time started;
@@ -70,6 +78,15 @@
   }
 };
 
+void HttpClient::ResetParser(Connection& connection) {
+  connection.parser.emplace();
+  // The library reserves memory for a stated length; CountReceived keeps the other limits.
+  connection.parser->body_limit(connection.max_body_bytes);
+  connection.parser->header_limit(std::numeric_limits<std::uint32_t>::max());
+  connection.parser->eager(true);
+  if (connection.head_request) connection.parser->skip(true);
+}
+
 HttpClient::HttpClient(EventLoop& loop, HttpClientLimits limits) : loop_(loop), limits_(limits) {}
 HttpClient::~HttpClient() = default;
 
@@ -86,17 +103,18 @@
   connection->write_started = false;
   connection->write_done = false;
   connection->head_reported = false;
+  connection->head_request = call.request.method == "HEAD";
+  connection->max_body_bytes = call.max_body_bytes;
+  connection->received_bytes = 0;
+  connection->over_limit = false;
+  connection->body_bytes = 0;
   connection->connect_timeout = limits_.connect_timeout;
   connection->silence_timeout = call.silence_timeout;
   connection->started = loop_.Now();
   connection->last_activity = connection->started;
   connection->deadline =
       call.timeout == absl::InfiniteDuration() ? absl::InfiniteFuture() : connection->started + call.timeout;
-  connection->parser.emplace();
-  connection->parser->body_limit(boost::none);
-  connection->parser->header_limit(kMaxAnswerHeaderBytes);
-  connection->parser->eager(true);
-  if (call.request.method == "HEAD") connection->parser->skip(true);
+  ResetParser(*connection);
 
   http::request<http::string_body>& outbound = connection->outbound;
   outbound = {};
@@ -141,6 +159,7 @@
   if (it == calls_.end()) return;
   const ConnectionPtr connection = it->second;
   calls_.erase(it);
+  bytes_in_progress_ -= connection->body_bytes;
   loop_.Cancel(connection->timer);
   connection->call = 0;
   connection->handlers = {};
@@ -223,34 +242,68 @@
                                      [this, connection, id](boost::system::error_code ec, std::size_t n) {
                                        if (connection->call != id) return;
                                        connection->buffer.commit(n);
+                                       connection->received_bytes += n;
                                        OnReceived(connection, !Parse(*connection, ec));
                                      });
 }
 
 // False: the connection failed, or what came is not an HTTP answer.
 bool HttpClient::Parse(Connection& connection, boost::system::error_code received) {
-  http::response_parser<http::string_body>& parser = *connection.parser;
   boost::system::error_code ec;
   if (received == asio::error::eof) {
+    http::response_parser<http::string_body>& parser = *connection.parser;
     if (!parser.got_some()) return false;
     parser.put_eof(ec);
     return !ec && parser.is_done();
   }
   if (received) return false;
-  while (connection.buffer.size() > 0 && !parser.is_done()) {
-    const std::size_t used = parser.put(connection.buffer.data(), ec);
+  while (connection.buffer.size() > 0 && !connection.parser->is_done()) {
+    const std::size_t used = connection.parser->put(connection.buffer.data(), ec);
     connection.buffer.consume(used);
     if (ec == http::error::need_more) return true;
+    connection.over_limit = ec == http::error::body_limit;
     if (ec) return false;
     if (used == 0) break;
+    if (!connection.parser->is_done()) continue;
+    // An interim answer announces the final one (RFC 9110, 15.2).
+    const int status = static_cast<int>(connection.parser->get().result_int());
+    if (status == kSwitchingProtocols) return false;
+    if (status < 200) ResetParser(connection);
   }
   return true;
 }
 
+// Counts what the last read brought. False: the answer went over a limit of its own.
+bool HttpClient::CountReceived(const ConnectionPtr& connection, std::size_t body_bytes) {
+  connection->body_bytes += body_bytes;
+  bytes_in_progress_ += body_bytes;
+  const std::size_t framing =
+      connection->received_bytes - std::min(connection->received_bytes, connection->body_bytes);
+  return connection->body_bytes <= connection->max_body_bytes &&
+         framing <= limits_.max_framing_bytes + connection->body_bytes;
+}
+
+void HttpClient::EndLargest() {
+  ConnectionPtr largest;
+  for (const std::pair<const CallId, ConnectionPtr>& it : calls_) {
+    if (largest == nullptr || it.second->body_bytes > largest->body_bytes) largest = it.second;
+  }
+  if (largest != nullptr) Finish(largest, CallEnd::kTooLarge);
+}
+
 void HttpClient::OnReceived(const ConnectionPtr& connection, bool failed) {
   const CallId id = connection->call;
   connection->last_activity = loop_.Now();
   http::response_parser<http::string_body>& parser = *connection->parser;
+  const std::size_t body_bytes = parser.is_header_done() ? parser.get().body().size() : 0;
+  if (!CountReceived(connection, body_bytes)) {
+    Finish(connection, CallEnd::kTooLarge);
+    return;
+  }
+  if (bytes_in_progress_ > limits_.max_bytes_in_progress) {
+    EndLargest();
+    if (connection->call != id) return;
+  }
   if (!failed && parser.is_header_done() && !connection->head_reported) {
     connection->head_reported = true;
     HttpResponse head;
@@ -274,7 +327,7 @@
     if (connection->call != id) return;
   }
   if (failed) {
-    Finish(connection, CallEnd::kBroken);
+    Finish(connection, connection->over_limit ? CallEnd::kTooLarge : CallEnd::kBroken);
   } else if (parser.is_done()) {
     Finish(connection, CallEnd::kComplete);
   } else {
@@ -284,6 +337,16 @@
 
 void HttpClient::Finish(const ConnectionPtr& connection, CallEnd end) {
   calls_.erase(connection->call);
+  bytes_in_progress_ -= connection->body_bytes;
+  connection->body_bytes = 0;
+  if (end == CallEnd::kTooLarge) {
+    ++counts_.too_large;
+    AddCounter(GlobalMetrics(), "upstream_answers_refused", NameOf(end));
+    LogEventLine(LogLevel::kWarning, LogEvent::kAnswerTooLarge,
+                 {{"address", connection->address},
+                  {"received", connection->received_bytes},
+                  {"ms", absl::ToInt64Milliseconds(loop_.Now() - connection->started)}});
+  }
   connection->call = 0;
   loop_.Cancel(connection->timer);
   HttpCallHandlers handlers = std::move(connection->handlers);
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -20,6 +20,11 @@
   absl::Duration connect_timeout = absl::Milliseconds(150);  // links take single milliseconds
   absl::Duration max_idle = absl::Seconds(30);  // kept connections without a call; upstreams state less
   int max_idle_per_address = 64;                // connections
+  // Bytes of one answer that are not its body: interim answers, head, chunk heads and extensions, trailers.
+  // They may not exceed this plus the bytes of the body.
+  std::size_t max_framing_bytes = 64 << 10;
+  // Body bytes of all answers in progress; above it the largest one is ended as kTooLarge.
+  std::size_t max_bytes_in_progress = 64 << 20;
 };
 
 struct HttpCall {
@@ -28,6 +33,7 @@
   absl::Duration timeout = absl::InfiniteDuration();          // for the whole call
   absl::Duration silence_timeout = absl::InfiniteDuration();  // without a byte received
   bool fresh_connection = false;                              // do not reuse a kept one
+  std::size_t max_body_bytes = 32 << 20;                      // more ends the call as kTooLarge
 };
 struct HttpCallHandlers {
   std::function<void(const HttpResponse&)> on_head;  // status and headers; no body
@@ -38,6 +44,7 @@
 struct HttpClientCounts {
   std::int64_t calls = 0;        //
   std::int64_t connections = 0;  // opened
+  std::int64_t too_large = 0;    // answers ended over a limit
 };
 
 class HttpClient {
@@ -60,8 +67,11 @@
   void Connect(const ConnectionPtr& connection);
   void Send(const ConnectionPtr& connection);
   void Receive(const ConnectionPtr& connection);
+  static void ResetParser(Connection& connection);
   static bool Parse(Connection& connection, boost::system::error_code received);
   void OnReceived(const ConnectionPtr& connection, bool failed);
+  bool CountReceived(const ConnectionPtr& connection, std::size_t body_bytes);
+  void EndLargest();
   void Finish(const ConnectionPtr& connection, CallEnd end);
   void Keep(const ConnectionPtr& connection);
   void WatchTime(const ConnectionPtr& connection);
@@ -70,6 +80,7 @@
   EventLoop& loop_;
   HttpClientLimits limits_;
   HttpClientCounts counts_;
+  std::size_t bytes_in_progress_ = 0;  // of bodies
   CallId next_ = 1;
   absl::flat_hash_map<CallId, ConnectionPtr> calls_;
   absl::flat_hash_map<std::string, std::deque<ConnectionPtr>> idle_;
--- /dev/null
+++ b/src/serving/scoring.cc
@@ -0,0 +1,256 @@
+#include "serving/scoring.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "oleander/log_events.h"
+#include "oleander/metrics.h"
+
+namespace oleander::serving {
+namespace {
+
+constexpr absl::Duration kAttemptTimeout =
+    absl::Seconds(1);  // the longest work takes a quarter of it; a lost answer must not cost the step
+constexpr double kHedgesPerCall = 0.1;  // second attempts, as a share of first ones
+constexpr double kMostHedgesSaved = 4;  // the last calls of one group
+// A whole score is a header; an answer's body is not kept.
+constexpr std::size_t kMaxAnswerBytes = 4 << 20;
+
+}  // namespace
+
+struct ScoringCalls::Attempt {
+  std::string upstream;  // id
+  absl::Time started;    //
+  AnswerHead head;       //
+};
+
+struct ScoringCalls::Call {
+  ScoringId id = 0;
+  ScoringRequest request;
+  int failures = 0;
+  int least_attempts = 1;
+  Done done;
+  int sent = 0;     // attempts
+  int retries = 0;  // attempts since the last sign that it ran
+  std::string last_upstream;
+  absl::Time started;
+  absl::Time not_before = absl::InfinitePast();
+  std::map<CallId, Attempt> attempts;  // in progress
+  TimerId hedge = 0;
+};
+
+ScoringCalls::ScoringCalls(Loop& loop, UpstreamLink& link, Directory& directory, std::string zone)
+    : loop_(loop), link_(link), directory_(directory), zone_(std::move(zone)) {}
+ScoringCalls::~ScoringCalls() = default;
+
+ScoringCalls::Call* ScoringCalls::Find(ScoringId id) {
+  const auto it = calls_.find(id);
+  return it == calls_.end() ? nullptr : it->second.get();
+}
+
+ScoringId ScoringCalls::Start(ScoringRequest request, int failures, int least_attempts, Done done) {
+  const ScoringId id = next_++;
+  std::unique_ptr<Call> owned = std::make_unique<Call>();
+  owned->id = id;
+  owned->request = std::move(request);
+  owned->failures = failures;
+  owned->least_attempts = least_attempts;
+  owned->done = std::move(done);
+  owned->started = loop_.Now();
+  calls_[id] = std::move(owned);
+  loop_.After(absl::ZeroDuration(), [this] { Dispatch(); });
+  return id;
+}
+
+void ScoringCalls::Cancel(ScoringId id) {
+  Call* const call = Find(id);
+  if (call == nullptr) return;
+  CancelAttempts(*call);
+  calls_.erase(id);
+}
+
+int ScoringCalls::Failures(ScoringId id) const {
+  const auto it = calls_.find(id);
+  return it == calls_.end() ? 0 : it->second->failures;
+}
+
+void ScoringCalls::Dispatch() {
+  if (dispatching_) return;  // an attempt that fails at once comes back here
+  dispatching_ = true;
+  const absl::Time now = loop_.Now();
+  std::vector<ScoringId> waiting;
+  for (const std::pair<const ScoringId, std::unique_ptr<Call>>& it : calls_) {
+    if (it.second->attempts.empty() && now >= it.second->not_before) waiting.push_back(it.first);
+  }
+  for (const ScoringId id : waiting) {
+    if (in_progress_ >= static_cast<int>(limit_.most)) break;
+    Call* const call = Find(id);
+    if (call == nullptr || !call->attempts.empty()) continue;
+    // Each attempt follows the policy in force; without a route the call waits until its item is given up.
+    const Route* route = directory_.FindRoute(call->request.host, call->request.target);
+    if (route == nullptr) continue;
+    UpstreamState* const upstream = Pick(*call, *route, "");
+    if (upstream == nullptr) continue;
+    hedges_left_ = std::min(kMostHedgesSaved, hedges_left_ + kHedgesPerCall);
+    ++in_progress_;
+    Send(*call, *route, *upstream);
+    WatchForHedge(id, route->objective);
+  }
+  dispatching_ = false;
+}
+
+UpstreamState* ScoringCalls::Pick(const Call& call, const Route& route, const std::string& excluded) {
+  ScoringChoice choice;
+  choice.zone_alone = zone_alone_;
+  choice.zone = zone_;
+  choice.avoided = call.last_upstream;
+  choice.excluded = excluded;
+  choice.now = loop_.Now();
+  return PickForScoring(directory_.Usable(ChooseService(route, call.request.id)), choice);
+}
+
+void ScoringCalls::Send(Call& call, const Route& route, UpstreamState& upstream) {
+  const absl::Time now = loop_.Now();
+  const absl::Duration timeout = std::min(kAttemptTimeout, route.timeout);
+  UpstreamCall http;
+  http.address = upstream.entry.address;
+  http.expected_id = upstream.entry.id;
+  http.host = call.request.host;
+  http.request_id = call.request.id;
+  http.method = "POST";
+  http.target = call.request.target;
+  http.body = call.request.body;
+  http.deadline = timeout;
+  http.timeout = timeout;
+  http.max_body_bytes = kMaxAnswerBytes;
+  ++upstream.in_flight;
+  ++call.sent;
+  call.last_upstream = upstream.entry.id;
+
+  const ScoringId id = call.id;
+  const std::shared_ptr<CallId> self = std::make_shared<CallId>(0);
+  CallHandlers handlers;
+  handlers.on_head = [this, id, self](const AnswerHead& head) {
+    Call* const found = Find(id);
+    if (found == nullptr) return;
+    Attempt& attempt = found->attempts[*self];
+    attempt.head = head;
+    UpstreamState* const state = directory_.Find(attempt.upstream);
+    if (state != nullptr) ObserveHead(*state, head, "", loop_.Now());
+  };
+  handlers.on_end = [this, id, self](CallEnd end) { OnAttemptEnd(id, *self, end); };
+  *self = link_.Start(std::move(http), std::move(handlers));
+  call.attempts[*self] = {upstream.entry.id, now, {}};
+}
+
+// A second upstream gets a call that is unanswered after its objective, within the budget.
+void ScoringCalls::WatchForHedge(ScoringId id, absl::Duration delay) {
+  Call& call = *Find(id);
+  call.hedge = loop_.After(delay, [this, id] {
+    Call* const found = Find(id);
+    if (found == nullptr || found->attempts.size() != 1 || hedges_left_ < 1) return;
+    found->hedge = 0;
+    const Route* route = directory_.FindRoute(found->request.host, found->request.target);
+    if (route == nullptr) return;
+    UpstreamState* const upstream = Pick(*found, *route, found->attempts.begin()->second.upstream);
+    if (upstream == nullptr) return;
+    --hedges_left_;
+    CountRetry(GlobalMetrics(), RetryReason::kHedge);
+    Send(*found, *route, *upstream);
+  });
+}
+
+void ScoringCalls::OnAttemptEnd(ScoringId id, CallId attempt_id, CallEnd end) {
+  Call* const found = Find(id);
+  if (found == nullptr) return;
+  Call& call = *found;
+  const auto node = call.attempts.find(attempt_id);
+  if (node == call.attempts.end()) return;
+  const Attempt attempt = std::move(node->second);
+  call.attempts.erase(node);
+  const absl::Time now = loop_.Now();
+  const absl::Duration took = now - attempt.started;
+  UpstreamState* const upstream = directory_.Find(attempt.upstream);
+  if (upstream != nullptr) --upstream->in_flight;
+
+  const AttemptVerdict verdict = JudgeAttempt(end, attempt.head, call.request.id);
+  const bool success = attempt.head.status >= 200 && attempt.head.status < 300;
+  ScoringSign sign = ScoringSign::kAnswered;
+  if (verdict == AttemptVerdict::kAnswered || verdict == AttemptVerdict::kFailed) {
+    if (upstream != nullptr) {
+      ObserveLatency(*upstream, took, now);
+      // A failure is the call's own: a few calls fail wherever they are sent.
+      ObserveSuccess(*upstream);
+    }
+  } else if (verdict == AttemptVerdict::kNotRun) {
+    sign = ScoringSign::kRefused;
+    if (upstream != nullptr) ObserveRefusal(*upstream, now);
+  } else {
+    sign = ScoringSign::kSilent;
+    if (upstream != nullptr) ObserveNoAnswer(*upstream, end, now);
+  }
+  LearnScoringLimit(limit_, sign, took, now);
+  if (verdict == AttemptVerdict::kAnswered && success) {
+    CountLatency(GlobalMetrics(), LatencyKind::kScoring, now - call.started);
+    Finish(call, attempt.head.signature, attempt.upstream);
+    return;
+  }
+  AddCounter(GlobalMetrics(), "scoring_attempts_failed", NameOf(verdict));
+  CountRetry(GlobalMetrics(), RetryReason::kScoringFailed);
+  LogEventLine(LogLevel::kInfo, LogEvent::kScoringAttemptFailed,
+               {{"request", call.request.id},
+                {"upstream", attempt.upstream},
+                {"end", NameOf(end)},
+                {"status", attempt.head.status},
+                {"verdict", NameOf(verdict)},
+                {"failures", call.failures + (verdict == AttemptVerdict::kFailed ? 1 : 0)},
+                {"limit", static_cast<int>(limit_.most)},
+                {"ms", absl::ToInt64Milliseconds(took)}});
+  if (verdict == AttemptVerdict::kFailed) {
+    ++call.failures;
+    call.retries = 0;
+    const Route* route = directory_.FindRoute(call.request.host, call.request.target);
+    const int most = std::max(call.least_attempts, route == nullptr ? 1 : route->max_attempts);
+    if (call.failures >= most) {
+      Finish(call, "", attempt.upstream);
+      return;
+    }
+  } else {
+    ++call.retries;
+  }
+  if (!call.attempts.empty()) return;  // the second attempt goes on
+  loop_.Cancel(call.hedge);
+  call.hedge = 0;
+  --in_progress_;
+  // An answer that is neither a success nor a failure (404, say) will hardly be another one at once.
+  const ScoringSign waits_for = verdict == AttemptVerdict::kAnswered ? ScoringSign::kRefused : sign;
+  const absl::Duration pause = ScoringPause(waits_for, call.retries);
+  call.not_before = now + pause;
+  loop_.After(pause, [this] { Dispatch(); });
+}
+
+void ScoringCalls::CancelAttempts(Call& call) {
+  if (!call.attempts.empty()) --in_progress_;
+  for (const std::pair<const CallId, Attempt>& it : call.attempts) {
+    link_.Cancel(it.first);
+    UpstreamState* const upstream = directory_.Find(it.second.upstream);
+    if (upstream != nullptr) --upstream->in_flight;
+  }
+  call.attempts.clear();
+  loop_.Cancel(call.hedge);
+  call.hedge = 0;
+}
+
+void ScoringCalls::Finish(Call& call, std::string score, const std::string& upstream) {
+  // The ended attempt is taken off already; it still counts as in progress unless another one does.
+  if (call.attempts.empty()) --in_progress_;
+  CancelAttempts(call);
+  const ScoringOutcome outcome = {std::move(score), upstream, call.sent, call.failures};
+  const Done done = std::move(call.done);
+  calls_.erase(call.id);
+  done(outcome);
+  Dispatch();
+}
+
+}  // namespace oleander::serving
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -135,6 +135,31 @@
     return n;
   }
 
+  // Adds the service that scores, and a scoring call to each item.
+  void AddScorers(int slots = 6) {
+    for (const char* id : {"s1", "s2", "s3"}) engines.Add(id, "lookups", "a", slots);
+  }
+  BatchSubmission MakeScoredJob(const std::string& id, int items) {
+    BatchSubmission job = MakeJob(id, items);
+    for (BatchItem& it : job.items) {
+      it.scoring = ScoringRequest{"score-" + it.id, "app.example", "/l/" + it.id, "rate " + it.id};
+      engines.lengths[it.scoring->id] = 1;
+    }
+    return job;
+  }
+  void SilenceScorers(bool silent) {
+    for (const char* id : {"s1", "s2", "s3"}) engines.engines.at(id).silent = silent;
+  }
+  absl::Time FirstRunOf(const std::string& request) const {
+    for (const fakes::RunRecord& it : engines.runs) {
+      if (it.request == request) return it.at;
+    }
+    return absl::InfiniteFuture();
+  }
+  static void ExpectScores(const BatchPage& page) {
+    for (const ItemResult& it : page.results) EXPECT_EQ(it.score, "signed:score-" + it.item);
+  }
+
   FakeLoop loop;
   FakeStore store{loop};
   FakeEngines engines{loop};
@@ -689,5 +714,166 @@
   EXPECT_EQ(n, 12);
 }
 
+// ---- Scoring
+
+// Guards against results without a score, and against a score of a text that was still being made.
+TEST_F(BatchServiceTest, AnItemIsListedWithTheScoreOfItsWholeText) {
+  AddScorers();
+  TestHost& host = AddHost("h1");
+  ASSERT_EQ(SubmitNow(host, MakeScoredJob(kJob, 30)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(5));
+  const BatchPage page = ReadNow(host, kJob).second;
+  ExpectWhole(page, 30);
+  ExpectScores(page);
+  for (int it = 0; it < 30; ++it) {
+    const std::string item = absl::StrCat("item", it);
+    EXPECT_EQ(RunsOf("score-" + item), 1);
+    // Ten events of 40 ms each.
+    EXPECT_GE(FirstRunOf("score-" + item) - FirstRunOf(item), absl::Milliseconds(400));
+  }
+}
+
+// Guards against an item that waits for a scoring call that fails wherever it is sent, and holds up others.
+TEST_F(BatchServiceTest, AScoringCallThatAlwaysFailsEndsItsItemAlone) {
+  AddScorers();
+  engines.failing = {"score-item2"};
+  TestHost& host = AddHost("h1");
+  ASSERT_EQ(SubmitNow(host, MakeScoredJob(kJob, 8)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(2));
+  const BatchPage page = ReadNow(host, kJob).second;
+  ASSERT_EQ(page.results.size(), 8u);
+  for (const ItemResult& it : page.results) {
+    EXPECT_EQ(it.state, it.item == "item2" ? ItemState::kAbandoned : ItemState::kCompleted);
+    EXPECT_EQ(it.score, it.item == "item2" ? "" : "signed:score-" + it.item);
+  }
+  EXPECT_EQ(RunsOf("score-item2"), 3) << "the larger one of both routes' attempts";
+  EXPECT_EQ(RunsOf("item2"), 1);
+}
+
+// Guards against a text that is generated again because its owner died before it was scored.
+TEST_F(BatchServiceTest, AWholeTextIsScoredByTheNextOwnerAndNotGeneratedAgain) {
+  AddScorers();
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  SilenceScorers(true);
+  ASSERT_EQ(SubmitNow(first, MakeScoredJob(kJob, 8)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(2));
+  ASSERT_TRUE(ReadNow(second, kJob).second.results.empty());
+  const std::size_t runs = engines.runs.size();
+  first.Kill();
+  SilenceScorers(false);
+  for (int it = 0; it < 4; ++it) ReadNow(second, kJob);
+  const BatchPage page = ReadNow(second, kJob).second;
+  ExpectWhole(page, 8);
+  ExpectScores(page);
+  EXPECT_EQ(engines.runs.size(), runs + 8) << "only the scoring calls ran";
+}
+
+// Guards against failures that start to count anew with each owner.
+TEST_F(BatchServiceTest, FailuresOfAScoringCallSurviveItsOwner) {
+  AddScorers();
+  engines.failing = {"score-item0"};
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  ASSERT_EQ(SubmitNow(first, MakeScoredJob(kJob, 1)), BatchOutcome::kAccepted);
+  while (RunsOf("score-item0") < 2) loop.RunFor(absl::Milliseconds(5));
+  SilenceScorers(true);
+  loop.RunFor(absl::Milliseconds(600));
+  first.Kill();
+  SilenceScorers(false);
+  for (int it = 0; it < 4; ++it) ReadNow(second, kJob);
+  ASSERT_EQ(ReadNow(second, kJob).second.results.size(), 1u);
+  EXPECT_EQ(RunsOf("score-item0"), 3);
+  EXPECT_EQ(RunsOf("item0"), 1);
+}
+
+// Guards against a shutdown that loses texts that wait for their score, also when they are many.
+TEST_F(BatchServiceTest, AShutdownHandsAllWholeTextsOver) {
+  for (const char* id : {"e1", "e2", "e3"}) engines.engines.at(id).entry.slots = 50;
+  AddScorers();
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  SilenceScorers(true);
+  ASSERT_EQ(SubmitNow(first, MakeScoredJob(kJob, 140)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(470));
+  bool done = false;
+  first.batches->HandOver([&done] { done = true; });
+  loop.RunFor(absl::Milliseconds(300));
+  ASSERT_TRUE(done);
+  EXPECT_EQ(first.link.OpenCalls(), 0);
+  const std::size_t runs = engines.runs.size();
+  SilenceScorers(false);
+  for (int it = 0; it < 6; ++it) ReadNow(second, kJob);
+  const BatchPage page = ReadNow(second, kJob).second;
+  ExpectWhole(page, 140);
+  ExpectScores(page);
+  EXPECT_EQ(engines.runs.size(), runs + 140) << "only the scoring calls ran";
+}
+
+// Guards against scoring calls that reach an upstream after the end of their job was acknowledged.
+TEST_F(BatchServiceTest, AnEndStopsScoringCalls) {
+  AddScorers(1);
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  BatchSubmission job = MakeScoredJob(kJob, 12);
+  for (const BatchItem& it : job.items) engines.lengths[it.scoring->id] = 20;
+  ASSERT_EQ(SubmitNow(first, std::move(job)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(700));
+  std::optional<BatchOutcome> ended;
+  second.batches->End(kJob, [&ended](BatchOutcome outcome) { ended = outcome; });
+  loop.RunFor(absl::Milliseconds(20));
+  ASSERT_EQ(ended.value(), BatchOutcome::kOk);
+  const absl::Time acknowledged = loop.Now();
+  loop.RunFor(absl::Seconds(10));
+  for (const fakes::RunRecord& it : engines.runs) EXPECT_LT(it.at, acknowledged + absl::Seconds(1));
+  EXPECT_EQ(first.link.OpenCalls(), 0);
+}
+
+// Guards against a score that is lost or doubled when the answer to the write of its result is lost.
+TEST_F(BatchServiceTest, AScoreIsStoredWithItsResult) {
+  AddScorers();
+  TestHost& host = AddHost("h1");
+  ASSERT_EQ(SubmitNow(host, MakeScoredJob(kJob, 12)), BatchOutcome::kAccepted);
+  int n = 0;
+  host.store.commit_fault = [&n](const Transaction&) {
+    return ++n % 2 == 0 ? StoreFault::kLoseAnswer : StoreFault::kNone;
+  };
+  loop.RunFor(absl::Seconds(30));
+  host.store.commit_fault = nullptr;
+  loop.RunFor(absl::Seconds(2));
+  const BatchPage page = ReadNow(host, kJob).second;
+  ExpectWhole(page, 12);
+  ExpectScores(page);
+}
+
+// Guards against a policy without the scoring route that loses texts: they wait until it is back.
+TEST_F(BatchServiceTest, TextsWaitForTheirScoringRoute) {
+  AddScorers();
+  TestHost& host = AddHost("h1");
+  Policy without = fakes::MakePolicy();
+  without.version = 2;
+  without.routes.pop_back();
+  host.directory.ApplyPolicy(without);
+  ASSERT_EQ(SubmitNow(host, MakeScoredJob(kJob, 4)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(3));
+  EXPECT_TRUE(ReadNow(host, kJob).second.results.empty());
+  Policy again = fakes::MakePolicy();
+  again.version = 3;
+  host.directory.ApplyPolicy(again);
+  loop.RunFor(absl::Seconds(2));
+  const BatchPage page = ReadNow(host, kJob).second;
+  ExpectWhole(page, 4);
+  ExpectScores(page);
+}
+
+// Guards against a run that bytes without an event keep alive for as long as they come.
+TEST_F(BatchServiceTest, BytesThatAreNoEventsDoNotKeepARunAlive) {
+  TestHost& host = AddHost("h1");
+  engines.engines.at("e1").noise = true;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 12)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(8));
+  ExpectWhole(ReadNow(host, kJob).second, 12);
+}
+
 }  // namespace
 }  // namespace oleander::serving
--- a/tests/decisions_test.cc
+++ b/tests/decisions_test.cc
@@ -87,5 +87,138 @@
   EXPECT_EQ(ExpectedGap(upstream, 50, kNow), 125);
 }
 
+// ---- Scoring calls
+
+std::vector<UpstreamState> Scorers(int n, int slots) {
+  std::vector<UpstreamState> states(static_cast<std::size_t>(n));
+  for (int it = 0; it < n; ++it) {
+    states[it].entry.id = std::string(1, static_cast<char>('a' + it));
+    states[it].entry.zone = "z";
+    states[it].entry.slots = slots;
+  }
+  return states;
+}
+std::vector<UpstreamState*> Pointers(std::vector<UpstreamState>& states) {
+  std::vector<UpstreamState*> pointers;
+  for (UpstreamState& it : states) pointers.push_back(&it);
+  return pointers;
+}
+
+// Replays a step whose 128 texts end together at three upstreams of six slots: a third of the slots stays
+// free for lookups, and the other calls wait at their owner.
+TEST(PickForScoringTest, ABurstLeavesSlotsToLookups) {
+  std::vector<UpstreamState> states = Scorers(3, 6);
+  ScoringChoice choice;
+  choice.zone = "z";
+  choice.now = kNow;
+  int placed = 0;
+  for (int it = 0; it < 128; ++it) {
+    UpstreamState* const upstream = PickForScoring(Pointers(states), choice);
+    if (upstream == nullptr) continue;
+    ++upstream->in_flight;
+    ++placed;
+  }
+  EXPECT_EQ(placed, 12);
+  for (const UpstreamState& it : states) EXPECT_EQ(it.in_flight, 4);
+}
+
+// Replays lookups of other hosts that fill one upstream: its own report keeps calls away.
+TEST(PickForScoringTest, ReportedWorkOfOthersCounts) {
+  std::vector<UpstreamState> states = Scorers(2, 6);
+  ObserveLoad(states[0], {5, 2, 6, 1}, kNow);
+  ScoringChoice choice;
+  choice.zone = "z";
+  choice.now = kNow;
+  for (int it = 0; it < 4; ++it) {
+    UpstreamState* const upstream = PickForScoring(Pointers(states), choice);
+    ASSERT_EQ(upstream, &states[1]);
+    ++upstream->in_flight;
+  }
+  EXPECT_EQ(PickForScoring(Pointers(states), choice), nullptr);
+}
+
+// Guards against calls to upstreams that just failed, and to other zones while the zone is cut off.
+TEST(PickForScoringTest, AvoidedUpstreamsWaitAndACutOffZoneServesItself) {
+  std::vector<UpstreamState> states = Scorers(2, 6);
+  states[0].avoid_until = kNow + absl::Seconds(1);
+  ScoringChoice choice;
+  choice.zone = "z";
+  choice.now = kNow;
+  EXPECT_EQ(PickForScoring(Pointers(states), choice), &states[1]);
+  choice.excluded = "b";
+  EXPECT_EQ(PickForScoring(Pointers(states), choice), nullptr);
+  states[0].avoid_until = absl::InfinitePast();
+  states[0].entry.zone = "other";
+  states[0].latency_ms = 20;
+  states[1].latency_ms = 500;
+  states[0].latency_at = states[1].latency_at = kNow;
+  choice.excluded.clear();
+  EXPECT_EQ(PickForScoring(Pointers(states), choice), &states[0]);
+  choice.zone_alone = true;
+  EXPECT_EQ(PickForScoring(Pointers(states), choice), &states[1]);
+}
+
+// Replays a service that refuses for a second: the owner goes down to a few calls, once for each round and
+// not once for each refusal, and comes back when the service does.
+TEST(ScoringLimitTest, ShrinksWithRefusalsAndGrowsWithAnswers) {
+  ScoringLimit limit;
+  const double before = limit.most;
+  for (int it = 0; it < 8; ++it) LearnScoringLimit(limit, ScoringSign::kRefused, absl::Milliseconds(2), kNow);
+  EXPECT_GT(limit.most, before / 2) << "one round of refusals is one cut";
+  absl::Time now = kNow;
+  for (int it = 0; it < 100; ++it) {
+    now += absl::Milliseconds(10);
+    LearnScoringLimit(limit, ScoringSign::kRefused, absl::Milliseconds(2), now);
+  }
+  EXPECT_LT(limit.most, 2);
+  EXPECT_GE(limit.most, 1) << "one call at a time shows when the service is back";
+  for (int it = 0; it < 200; ++it) {
+    now += absl::Milliseconds(10);
+    LearnScoringLimit(limit, ScoringSign::kAnswered, absl::Milliseconds(30), now);
+  }
+  EXPECT_GT(limit.most, before);
+}
+
+// Replays a service that turns ten times slower without refusing anything.
+TEST(ScoringLimitTest, ShrinksWhenAnswersBecomeSlow) {
+  ScoringLimit limit;
+  absl::Time now = kNow;
+  for (int it = 0; it < 100; ++it) {
+    now += absl::Milliseconds(10);
+    LearnScoringLimit(limit, ScoringSign::kAnswered, absl::Milliseconds(30), now);
+  }
+  const double before = limit.most;
+  for (int it = 0; it < 10; ++it) {
+    now += absl::Milliseconds(200);
+    LearnScoringLimit(limit, ScoringSign::kAnswered, absl::Milliseconds(300), now);
+  }
+  EXPECT_LT(limit.most, before / 2);
+}
+
+TEST(ScoringPauseTest, GrowsWithEachAttemptUpToASecond) {
+  EXPECT_EQ(ScoringPause(ScoringSign::kSilent, 1), absl::ZeroDuration())
+      << "a lost answer is asked for again";
+  EXPECT_LT(ScoringPause(ScoringSign::kRefused, 1), ScoringPause(ScoringSign::kRefused, 3));
+  EXPECT_LE(ScoringPause(ScoringSign::kRefused, 1000), absl::Seconds(1));
+}
+
+// Guards against an answer of another request, or one that nobody has signed, that passes for the answer.
+TEST(JudgeAttemptTest, OnlyAWholeSignedOwnAnswerCounts) {
+  AnswerHead head;
+  head.status = 200;
+  head.request_id = "r";
+  head.signature = "s";
+  EXPECT_EQ(JudgeAttempt(CallEnd::kComplete, head, "r"), AttemptVerdict::kAnswered);
+  EXPECT_EQ(JudgeAttempt(CallEnd::kComplete, head, "other"), AttemptVerdict::kNoAnswer);
+  EXPECT_EQ(JudgeAttempt(CallEnd::kBroken, head, "r"), AttemptVerdict::kNoAnswer);
+  EXPECT_EQ(JudgeAttempt(CallEnd::kTooLarge, head, "r"), AttemptVerdict::kNoAnswer);
+  head.signature.clear();
+  EXPECT_EQ(JudgeAttempt(CallEnd::kComplete, head, "r"), AttemptVerdict::kNoAnswer);
+  head.status = 500;
+  EXPECT_EQ(JudgeAttempt(CallEnd::kComplete, head, "r"), AttemptVerdict::kFailed);
+  head.not_run = true;
+  EXPECT_EQ(JudgeAttempt(CallEnd::kComplete, head, "r"), AttemptVerdict::kNotRun);
+}
+
 }  // namespace
 }  // namespace oleander::serving
--- a/tests/frontend_test.cc
+++ b/tests/frontend_test.cc
@@ -2,7 +2,6 @@
 
 #include <gtest/gtest.h>
 
-#include <deque>
 #include <set>
 
 #include "absl/strings/str_cat.h"
@@ -13,69 +12,7 @@
 namespace {
 
 using fakes::FakeLoop;
-
-// Upstreams whose answers the test scripts one by one.
-class ScriptedLink : public UpstreamLink {
- public:
-  struct Script {
-    absl::Duration delay = absl::Milliseconds(20);
-    CallEnd end = CallEnd::kComplete;
-    AnswerHead head;
-    std::string body = "whole";
-    std::string echoed;  // request id in the answer; empty: the caller's
-  };
-  struct Sent {
-    UpstreamCall call;
-    bool cancelled = false;
-  };
-
-  explicit ScriptedLink(FakeLoop& loop) : loop_(loop) {}
-  CallId Start(UpstreamCall call, CallHandlers handlers) override {
-    const CallId id = next_++;
-    Script script = Next(call.expected_id);
-    if (script.head.request_id.empty()) script.head.request_id = call.request_id;
-    const absl::Duration delay = std::min(script.delay, call.timeout);
-    if (script.delay > call.timeout) script.end = CallEnd::kTimedOut;
-    sent[id] = {std::move(call), false};
-    loop_.After(delay, [this, id, script, handlers] {
-      if (sent[id].cancelled) return;
-      if (script.end == CallEnd::kComplete || !script.body.empty()) {
-        if (script.end != CallEnd::kNotSent && script.end != CallEnd::kTimedOut)
-          handlers.on_head(script.head);
-        if (script.end != CallEnd::kNotSent && script.end != CallEnd::kTimedOut)
-          handlers.on_body(script.body);
-      }
-      if (sent[id].cancelled) return;
-      handlers.on_end(script.end);
-    });
-    return id;
-  }
-  void Cancel(CallId id) override { sent[id].cancelled = true; }
-  void FetchReport(const UpstreamEntry&, std::function<void(const EngineReport&)>) override {}
-  void FetchLoad(const UpstreamEntry&, const std::string&,
-                 std::function<void(const std::optional<ReportedLoad>&)>) override {}
-  void SendOrder(const UpstreamEntry&, const WeightsOrder&, std::function<void(OrderOutcome)>) override {}
-
-  static Script Success() {
-    Script script;
-    script.head.status = 200;
-    script.head.signed_answer = true;
-    return script;
-  }
-  std::map<std::string, std::deque<Script>> scripts;  // by upstream; none left: a success
-  std::map<CallId, Sent> sent;
-
- private:
-  Script Next(const std::string& upstream) {
-    std::deque<Script>& queue = scripts[upstream];
-    if (queue.empty()) return Success();
-    Script script = queue.front();
-    queue.pop_front();
-    return script;
-  }
-  FakeLoop& loop_;
-  CallId next_ = 1;
-};
+using fakes::ScriptedLink;
 
 struct FrontendTest : testing::Test {
   FrontendTest() {
@@ -219,7 +156,7 @@
   Ask();
   loop.RunFor(absl::Seconds(2));
   ScriptedLink::Script forged = ScriptedLink::Success();
-  forged.head.signed_answer = false;
+  forged.head.signature.clear();
   AllAnswer(forged);
   Ask();
   loop.RunFor(absl::Seconds(2));
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -102,6 +102,87 @@
   }
 }
 
+constexpr char kScoredSubmission[] = R"({"step":7,"model":"m1","minVersion":6,"desiredCount":12,"items":[
+  {"id":"i1","path":"/r/1","headers":{"Model":"m1"},"body":"q83vEjRWeJA=","tokenCount":940,"group":"g1",
+   "scorer":{"id":"s1","host":"b.example","path":"/score/5e07","body":"3q2+7w=="}}]})";
+
+// Guards against results without a score because the scoring call was dropped on the way in.
+TEST(Decode, ReadsTheScoringCallOfAnItem) {
+  const std::optional<serving::BatchSubmission> job = DecodeSubmission(kScoredSubmission);
+  ASSERT_TRUE(job);
+  ASSERT_TRUE(job->items[0].scoring);
+  EXPECT_EQ(job->items[0].scoring->id, "s1");
+  EXPECT_EQ(job->items[0].scoring->host, "b.example");
+  EXPECT_EQ(job->items[0].scoring->target, "/score/5e07");
+  EXPECT_EQ(job->items[0].scoring->body, absl::HexStringToBytes("deadbeef"));
+  EXPECT_FALSE(DecodeSubmission(kSubmission)->items[0].scoring);
+  const Json good = Json::parse(kScoredSubmission);
+  for (const char* key : {"id", "host", "path"}) {
+    Json missing = good;
+    missing["items"][0]["scorer"].erase(key);
+    EXPECT_FALSE(DecodeSubmission(missing.dump())) << key;
+    Json wrong = good;
+    wrong["items"][0]["scorer"][key] = 5;
+    EXPECT_FALSE(DecodeSubmission(wrong.dump())) << key;
+  }
+  Json wrong = good;
+  wrong["items"][0]["scorer"]["body"] = "%%";
+  EXPECT_FALSE(DecodeSubmission(wrong.dump()));
+  wrong["items"][0]["scorer"] = "s1";
+  EXPECT_FALSE(DecodeSubmission(wrong.dump()));
+  wrong["items"][0]["scorer"] = nullptr;
+  EXPECT_TRUE(DecodeSubmission(wrong.dump()));
+}
+
+TEST(Decode, PagesCarryScores) {
+  serving::BatchPage page;
+  page.results = {{"i1", serving::ItemState::kCompleted, "text", {6}, "3e1b.07"},
+                  {"i2", serving::ItemState::kAbandoned, "", {}, ""}};
+  const Json json = Json::parse(EncodePage(page));
+  EXPECT_EQ(json["results"][0]["score"], "3e1b.07");
+  EXPECT_FALSE(json["results"][1].contains("score"));
+}
+
+// Guards against a host that cannot read what a host of the version before has written.
+TEST(Records, RecordsWithoutScoringFieldsAreRead) {
+  const auto pack = [](const Json& value) {
+    std::string bytes;
+    Json::to_msgpack(value, bytes);
+    return bytes;
+  };
+  const Json text = Json::binary({'a', 'b'});
+  const Json versions = Json::array({6, 7});
+  const std::optional<serving::ItemResult> result =
+      serving::DecodeResult(pack(Json::array({"i1", 0, text, versions})));
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->output, "ab");
+  EXPECT_EQ(result->score, "");
+  const std::optional<serving::PartialText> partial =
+      serving::DecodePartial(pack(Json::array({"i1", text, 4, 4, versions})));
+  ASSERT_TRUE(partial);
+  EXPECT_FALSE(partial->whole);
+  EXPECT_EQ(partial->scoring_failures, 0);
+  const Json item = Json::array({"i1", "/r/1", Json::array(), text, "g1", 940, 900.0});
+  const std::optional<serving::BatchSubmission> job = serving::DecodeSubmission(
+      pack(Json::array({1, "job", "a.example", "/r/", 7, "m1", 6, 12, Json::array({item})})));
+  ASSERT_TRUE(job);
+  EXPECT_FALSE(job->items[0].scoring);
+}
+
+TEST(Records, ScoringSurvivesTheStore) {
+  serving::BatchSubmission job = *DecodeSubmission(kScoredSubmission);
+  const std::optional<serving::BatchSubmission> back =
+      serving::DecodeSubmission(serving::EncodeSubmission(job));
+  ASSERT_TRUE(back && back->items[0].scoring);
+  EXPECT_EQ(back->items[0].scoring->target, "/score/5e07");
+  EXPECT_EQ(back->items[0].scoring->body, job.items[0].scoring->body);
+  const serving::ItemResult result = {"i1", serving::ItemState::kCompleted, "text", {6}, "stamp"};
+  EXPECT_EQ(serving::DecodeResult(serving::EncodeResult(result))->score, "stamp");
+  const serving::PartialText partial = {"i1", "text", 4, 4, {6}, true, 2};
+  EXPECT_TRUE(serving::DecodePartial(serving::EncodePartial(partial))->whole);
+  EXPECT_EQ(serving::DecodePartial(serving::EncodePartial(partial))->scoring_failures, 2);
+}
+
 // Guards against a job that changes on its way through the store.
 TEST(Records, SubmissionsAndResultsSurviveTheStore) {
   serving::BatchSubmission job = *DecodeSubmission(kSubmission);
@@ -170,7 +251,7 @@
   head.headers = {{"Not-Run", "1"}, {"Server-Load", "3,1,8,250"}, {"Request-Id", "x"}};
   const serving::AnswerHead answer = DecodeHead(head);
   EXPECT_TRUE(answer.not_run);
-  EXPECT_FALSE(answer.signed_answer);
+  EXPECT_TRUE(answer.signature.empty());
   EXPECT_FALSE(answer.framed);
   ASSERT_TRUE(answer.load);
   EXPECT_EQ(answer.load->waiting, 1);
@@ -185,7 +266,7 @@
 // Guards against crashes on bytes that no writer of this project made.
 TEST(Decode, MutatedBytesNeverCrash) {
   std::mt19937_64 random(20261204);
-  const std::vector<std::string> seeds = {kPolicy, kEntry, kSubmission};
+  const std::vector<std::string> seeds = {kPolicy, kEntry, kSubmission, kScoredSubmission};
   for (int it = 0; it < 6000; ++it) {
     const std::string text = Mutate(seeds[it % seeds.size()], random);
     static_cast<void>(DecodePolicy(text));
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -286,7 +286,7 @@
     std::string model(FindHeader(call.request.headers, "Model"));
     AnswerHead head;
     head.request_id = request;
-    head.signed_answer = true;
+    head.signature = absl::StrCat("signed:", request);
     head.load = ReportedLoad{engine.running, 0, engine.entry.slots, engine.slowdown};
     if (engine.running > engine.entry.slots ||
         (loop_.Now() < engine.loading_until && engine.loading_model == model)) {
@@ -298,9 +298,10 @@
       return;
     }
     engines_.runs.push_back({loop_.Now(), call.engine, request, call.request.resume_after.value_or(0)});
-    if (engines_.impossible.contains(request) || engine.fail_next > 0) {
+    const bool fails = engines_.failing.contains(request);
+    if (engines_.impossible.contains(request) || fails || engine.fail_next > 0) {
       head.status = engines_.impossible.contains(request) ? 422 : 500;
-      if (head.status == 500) --engine.fail_next;
+      if (head.status == 500 && !fails) --engine.fail_next;
       SendHead(id, head);
       End(id, CallEnd::kComplete);
       return;
@@ -339,6 +340,12 @@
     Call& call = it->second;
     const FakeEngine& engine = engines_.engines.at(call.engine);
     if (engine.silent) return;
+    if (engine.noise) {
+      const std::function<void(std::string_view)> on_body = call.handlers.on_body;
+      if (on_body) on_body(": no event\n");
+      if (calls_.contains(id)) Step(id);
+      return;
+    }
     if (call.break_after > 0 && call.made == call.break_after) {
       const std::function<void(std::string_view)> on_body = call.handlers.on_body;
       if (on_body) on_body(absl::StrCat("id: ", call.next_event, "\ndata: cut in the mid"));
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -3,7 +3,9 @@
 #ifndef OLEANDER_TESTS_SERVING_FAKES_H_
 #define OLEANDER_TESTS_SERVING_FAKES_H_
 
+#include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -85,6 +87,7 @@
   std::string loading_model;
   int running = 0;
   bool silent = false;          // heads and events stop
+  bool noise = false;           // bytes that are no events take the place of events
   bool ignores_orders = false;  // unanswered, and carried out when told
   int fail_next = 0;            // requests answered with 500
   int break_after_events = 0;   // of the next run; 0: never
@@ -113,6 +116,7 @@
   std::map<std::string, FakeEngine> engines;
   std::map<std::string, int> lengths;                             // events by request id; default 10
   std::set<std::string> impossible;                               // answered with 422
+  std::set<std::string> failing;                                  // answered with 500
   std::map<std::string, std::map<int, std::int64_t>> made_under;  // request, event: version
   std::vector<OrderRecord> orders;
   std::vector<RunRecord> runs;
@@ -164,6 +168,69 @@
   std::map<CallId, Call> calls_;
 };
 
+// Upstreams whose answers the test scripts one by one.
+class ScriptedLink : public UpstreamLink {
+ public:
+  struct Script {
+    absl::Duration delay = absl::Milliseconds(20);
+    CallEnd end = CallEnd::kComplete;
+    AnswerHead head;
+    std::string body = "whole";
+    std::string echoed;  // request id in the answer; empty: the caller's
+  };
+  struct Sent {
+    UpstreamCall call;
+    bool cancelled = false;
+  };
+
+  explicit ScriptedLink(FakeLoop& loop) : loop_(loop) {}
+  CallId Start(UpstreamCall call, CallHandlers handlers) override {
+    const CallId id = next_++;
+    Script script = Next(call.expected_id);
+    if (script.head.request_id.empty()) script.head.request_id = call.request_id;
+    const absl::Duration delay = std::min(script.delay, call.timeout);
+    if (script.delay > call.timeout) script.end = CallEnd::kTimedOut;
+    sent[id] = {std::move(call), false};
+    loop_.After(delay, [this, id, script, handlers] {
+      if (sent[id].cancelled) return;
+      if (script.end == CallEnd::kComplete || !script.body.empty()) {
+        if (script.end != CallEnd::kNotSent && script.end != CallEnd::kTimedOut)
+          handlers.on_head(script.head);
+        if (script.end != CallEnd::kNotSent && script.end != CallEnd::kTimedOut)
+          if (handlers.on_body) handlers.on_body(script.body);
+      }
+      if (sent[id].cancelled) return;
+      handlers.on_end(script.end);
+    });
+    return id;
+  }
+  void Cancel(CallId id) override { sent[id].cancelled = true; }
+  void FetchReport(const UpstreamEntry&, std::function<void(const EngineReport&)>) override {}
+  void FetchLoad(const UpstreamEntry&, const std::string&,
+                 std::function<void(const std::optional<ReportedLoad>&)>) override {}
+  void SendOrder(const UpstreamEntry&, const WeightsOrder&, std::function<void(OrderOutcome)>) override {}
+
+  static Script Success() {
+    Script script;
+    script.head.status = 200;
+    script.head.signature = "signed";
+    return script;
+  }
+  std::map<std::string, std::deque<Script>> scripts;  // by upstream; none left: a success
+  std::map<CallId, Sent> sent;
+
+ private:
+  Script Next(const std::string& upstream) {
+    std::deque<Script>& queue = scripts[upstream];
+    if (queue.empty()) return Success();
+    Script script = queue.front();
+    queue.pop_front();
+    return script;
+  }
+  FakeLoop& loop_;
+  CallId next_ = 1;
+};
+
 // A policy with one rollout route ("train.example", "/r/") and one lookup route ("app.example", "/l/").
 Policy MakePolicy();
 // The whole text of a request with so many events.
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -1,6 +1,7 @@
 // The HTTP client and server of the serving core, over loopback sockets.
 #include <gtest/gtest.h>
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -20,6 +21,9 @@
 constexpr absl::Duration kLongestTest =
     absl::Seconds(20);  // ends a test that hangs; no verdict depends on it
 
+constexpr std::size_t kMostBody = 1 << 20;        // of one answer, and of all together
+constexpr std::size_t kSocketBuffers = 16 << 20;  // what a writer gets rid of without a reader
+
 // Serves raw bytes: `script` gets each accepted connection on a thread of its own.
 struct RawServer {
   explicit RawServer(std::function<void(tcp::socket&)> script)
@@ -78,6 +82,7 @@
     call.address = address;
     call.request = {"POST", "/x", {{"Host", "h"}}, std::move(body)};
     call.timeout = timeout;
+    call.max_body_bytes = kMostBody;
     HttpCallHandlers handlers;
     handlers.on_head = [result](const HttpResponse& head) { result->status = head.status; };
     handlers.on_body = [this, result](std::string_view piece) {
@@ -97,7 +102,12 @@
     loop.Run();
   }
   EventLoop loop;
-  HttpClient client{loop, {}};
+  static HttpClientLimits Limits() {
+    HttpClientLimits limits;
+    limits.max_bytes_in_progress = kMostBody + (kMostBody >> 1);
+    return limits;
+  }
+  HttpClient client{loop, Limits()};
   std::function<void()> on_piece;
 };
 
@@ -136,6 +146,94 @@
   }
 }
 
+// Guards against an upstream that fills this host's memory: bytes without end in each place of an answer.
+TEST_F(ServingHttpTest, AnAnswerWithoutEndIsBrokenOff) {
+  const std::string filler(8192, 'x');
+  const std::string event = "id: 1\ndata: " + filler + "\n\n";
+  const std::vector<std::array<std::string, 3>> cases = {
+      {"status line", "HTTP/1.1 200 ", filler},
+      {"one header", "HTTP/1.1 200 OK\r\nX: ", filler},
+      {"headers", "HTTP/1.1 200 OK\r\n", "X-More: yes\r\n"},
+      {"no HTTP", "", std::string("\x00\xff", 2) + filler},
+      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", filler},
+      {"body up to the close", "HTTP/1.1 200 OK\r\n\r\n", filler},
+      {"chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+      {"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;e=", filler},
+      {"chunk extensions", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "1;extension=of-a-chunk-that-is-longer-than-its-data\r\nx\r\n"},
+      {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2000\r\n" + filler + "\r\n"},
+      {"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", filler},
+      {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: yes\r\n"},
+  };
+  for (const std::array<std::string, 3>& it : cases) {
+    std::atomic<std::size_t> sent{0};
+    RawServer server([&it, &sent](tcp::socket& socket) {
+      ReadHead(socket);
+      WriteText(socket, it[1]);
+      std::string block;
+      while (block.size() < 64 << 10) block += it[2];
+      boost::system::error_code ec;
+      while (!ec && sent < 1 << 30) sent += asio::write(socket, asio::buffer(block), ec);
+    });
+    const std::shared_ptr<Result> result = Call(server.Address(), "", absl::Seconds(15));
+    Run();
+    ASSERT_TRUE(result->end.has_value()) << it[0];
+    EXPECT_TRUE(result->end == CallEnd::kTooLarge || result->end == CallEnd::kBroken) << it[0];
+    EXPECT_LE(result->body.size(), kMostBody) << it[0];
+    EXPECT_LT(sent, 4 * kMostBody + kSocketBuffers) << it[0];
+  }
+}
+
+// Guards against many answers that are each within their limit and together fill the host.
+TEST_F(ServingHttpTest, TheLargestAnswerIsEndedWhenAllTogetherAreTooLarge) {
+  std::atomic<bool> done{false};
+  RawServer large([&done](tcp::socket& socket) {
+    ReadHead(socket);
+    WriteText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + std::string(900000, 'x'));
+    while (!done) std::this_thread::yield();
+  });
+  RawServer growing([&done](tcp::socket& socket) {
+    ReadHead(socket);
+    WriteText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n");
+    for (int it = 0; it < 8 && !done; ++it) WriteText(socket, std::string(100000, 'y'));
+    while (!done) std::this_thread::yield();
+  });
+  const std::shared_ptr<Result> first = Call(large.Address());
+  std::function<void()> start_second;
+  std::shared_ptr<Result> second;
+  start_second = [&] {
+    if (first->body.size() == 900000) {
+      second = Call(growing.Address(), "", absl::Seconds(10), false);
+    } else {
+      loop.After(absl::Milliseconds(1), start_second);
+    }
+  };
+  start_second();
+  Run();
+  done = true;
+  EXPECT_EQ(first->end, CallEnd::kTooLarge);
+  ASSERT_NE(second, nullptr);
+  EXPECT_FALSE(second->end.has_value()) << "the smaller answer goes on";
+  EXPECT_EQ(client.Counts().too_large, 1);
+}
+
+// Guards against an interim answer that passes for the answer itself.
+TEST_F(ServingHttpTest, InterimAnswersAreNotTheAnswer) {
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    WriteText(socket,
+              "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 "
+              "OK\r\nContent-Length: "
+              "2\r\n\r\nok");
+  });
+  const std::shared_ptr<Result> result = Call(server.Address());
+  Run();
+  EXPECT_EQ(result->end, CallEnd::kComplete);
+  EXPECT_EQ(result->status, 200);
+  EXPECT_EQ(result->body, "ok");
+}
+
 // Guards against bytes behind an answer that are taken for the next one.
 TEST_F(ServingHttpTest, AConnectionWithExtraBytesIsNotReused) {
   RawServer server([](tcp::socket& socket) {
