Start nothing for a job that the store has not confirmed for two seconds; soak scorers and endless answers

An owner notices an end by its own conditional write, every 0.3 s; where the store refuses or delays that write and answers other calls, nothing bounded the time. Now the owner keeps the bound itself: no item, move or scoring call starts 2 s after the sending of the last confirmed write, unless the whole store is away, when nobody can end a job. Test AnOwnerWithoutConfirmationStartsNothingNew: fails without the bound, passes with it.

--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -76,6 +76,9 @@
   bool commit_in_flight = false;
   absl::Time retry_at = absl::InfinitePast();
   absl::Time last_commit;
+  absl::Time attempt_first_sent;
+  absl::Time attempt_sent;  // last sending
+  absl::Time confirmed_at;  // sending of the last write that the store has confirmed
   absl::Time last_checkpoint;
   bool checkpoint_in_flight = false;
   std::vector<std::string> partials_to_remove;  // item ids
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -29,7 +29,9 @@
 constexpr std::size_t kDecisiveWhenLeft = 3;    // the last third of the items is longer than usual
 constexpr std::int64_t kCheckpointEvents = 10;  // new events that are worth a write
 constexpr std::size_t kMaxTextBytes = 8 << 20;  // of one run's stream: far above any text of a sample
-constexpr int kUnframedEndsToBelieve = 2;       // ends without a length that agree
+constexpr absl::Duration kAwayMemory =
+    absl::Milliseconds(300);               // the host looks ten times a second whether the store is away
+constexpr int kUnframedEndsToBelieve = 2;  // ends without a length that agree
 
 }  // namespace
 
@@ -280,7 +282,8 @@
   const absl::Time now = loop_.Now();
   for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) {
     Job& job = *it.second;
-    if (!job.ready || job.frozen || (job.loads_pending > 0 && now < job.loads_until)) continue;
+    if (!job.ready || job.frozen || !MayStart(job) || (job.loads_pending > 0 && now < job.loads_until))
+      continue;
     const std::vector<std::size_t> ranks(job.waiting.begin(), job.waiting.end());
     for (const std::size_t rank : ranks) {
       Item& item = job.items[job.order[rank]];
@@ -542,11 +545,15 @@
   item.phase = Phase::kScoring;
   item.text_whole = loop_.Now();
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
-  item.scoring =
-      scoring_.Start(*item.spec.scoring, scoring_failures, route == nullptr ? 1 : route->max_attempts,
-                     [this, id = job.submission.id, index = item.index](const ScoringOutcome& outcome) {
-                       OnScored(id, index, outcome);
-                     });
+  item.scoring = scoring_.Start(
+      *item.spec.scoring, scoring_failures, route == nullptr ? 1 : route->max_attempts,
+      [this, id = job.submission.id] {
+        const Job* const found = FindJob(id);
+        return found != nullptr && MayStart(*found);
+      },
+      [this, id = job.submission.id, index = item.index](const ScoringOutcome& outcome) {
+        OnScored(id, index, outcome);
+      });
 }
 
 void BatchService::OnScored(const std::string& id, std::size_t index, const ScoringOutcome& outcome) {
@@ -575,6 +582,13 @@
   }
 }
 
+// An owner that hears no confirmation from a store that answers other calls cannot know whether its job has
+// been ended. While the store is away nobody can end a job, and work goes on.
+bool BatchService::MayStart(const Job& job) const {
+  const absl::Time now = loop_.Now();
+  return now - job.confirmed_at < settings_.unconfirmed_limit || now - store_away_at_ < kAwayMemory;
+}
+
 // Whole texts whose score takes longer than usual: losing them with this host would mean to generate them
 // again.
 bool BatchService::WholeTextsToKeep(const Job& job) const {
@@ -661,7 +675,7 @@
 }
 
 void BatchService::MoveSlowRuns(Job& job) {
-  if (job.running == 0) return;
+  if (job.running == 0 || !MayStart(job)) return;
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
   if (route == nullptr || route->services.empty()) return;
   const ServiceSpec* spec = directory_.FindService(route->services.front().service);
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -199,7 +199,7 @@
   Job& job = *owned;
   job.lease = lease;
   job.lease_version = lease_version;
-  job.last_commit = loop_.Now();
+  job.last_commit = job.confirmed_at = loop_.Now();
   job.last_checkpoint = loop_.Now();
   jobs_[id] = std::move(owned);
   LoadPartials(job);
@@ -573,8 +573,10 @@
     job.attempt = std::move(transaction);
     job.attempt_lease = lease;
     job.attempt_results = count;
+    job.attempt_first_sent = loop_.Now();
   }
   job.commit_in_flight = true;
+  job.attempt_sent = loop_.Now();
   store_.Commit(*job.attempt, [this, id](const StoreReply& reply) { OnResultsCommitted(id, reply); });
 }
 
@@ -584,6 +586,7 @@
   if (found == nullptr || !found->commit_in_flight) return;
   Job& job = *found;
   job.commit_in_flight = false;
+  absl::Time confirmed_at = job.attempt_sent;
   std::int64_t committed_version = reply.outcome == StoreOutcome::kOk ? reply.version : 0;
   if (reply.outcome == StoreOutcome::kConflict) {
     for (const Row& it : reply.rows) {
@@ -596,9 +599,11 @@
       if (it.id.key != kLeaseKey || it.version == 0) continue;
       if (it.value == EncodeLease(job.attempt_lease)) {
         committed_version = it.version;  // the write took effect and its answer was lost
+        confirmed_at = job.attempt_first_sent;
       } else if (it.value == EncodeLease(job.lease)) {
         job.lease_version = it.version;
         job.last_commit = loop_.Now();
+        job.confirmed_at = job.attempt_sent;
         return;
       }
     }
@@ -618,6 +623,7 @@
   job.pending.erase(job.pending.begin(),
                     job.pending.begin() + static_cast<std::ptrdiff_t>(job.attempt_results));
   job.last_commit = loop_.Now();
+  job.confirmed_at = confirmed_at;
   if (job.lease.finished) {
     Drop(id, "finished");
   } else if (job.lease.owner.empty()) {
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -37,11 +37,14 @@
 namespace oleander::serving {
 
 struct BatchSettings {
-  std::string incarnation;                                     // of this host; differs after each start
-  std::string zone;                                            //
-  absl::Duration lease = absl::Milliseconds(1200);             // without renewal, another host takes over
-  absl::Duration calm_store = absl::Milliseconds(1500);        // of answered reads, before a host takes over
-  absl::Duration renew_every = absl::Milliseconds(300);        // also bounds how late an end is noticed
+  std::string incarnation;                               // of this host; differs after each start
+  std::string zone;                                      //
+  absl::Duration lease = absl::Milliseconds(1200);       // without renewal, another host takes over
+  absl::Duration calm_store = absl::Milliseconds(1500);  // of answered reads, before a host takes over
+  absl::Duration renew_every = absl::Milliseconds(300);  // also bounds how late an end is noticed
+  // Without a confirmed write for so long, a job that the store could confirm starts nothing new: it may have
+  // been ended. Callers are promised 3 s from the end of a job to the last start of an item.
+  absl::Duration unconfirmed_limit = absl::Seconds(2);
   absl::Duration commit_every = absl::Milliseconds(40);        // results gather for so long
   absl::Duration checkpoint_every = absl::Milliseconds(1000);  // texts of running items
   absl::Duration keep_whole_after = absl::Milliseconds(100);   // whole texts that wait for their score
@@ -77,7 +80,7 @@
   void Tick();
   // The store does not answer this host; call it again and again while that holds. Leases that have run out
   // are not taken over until the store has answered for a while, so that living owners renew them first.
-  void NoteStoreAway() { read_failed_at_ = loop_.Now(); }
+  void NoteStoreAway() { read_failed_at_ = store_away_at_ = loop_.Now(); }
   void Sweep();
   // While this host does not reach the store, scoring calls go to upstreams of its own zone first.
   void SetZoneAlone(bool alone) { scoring_.SetZoneAlone(alone); }
@@ -130,6 +133,7 @@
   void FinishText(Job& job, Item& item, int scoring_failures);
   void OnScored(const std::string& job, std::size_t item, const ScoringOutcome& outcome);
   void StopWork(Job& job);
+  bool MayStart(const Job& job) const;
   bool WholeTextsToKeep(const Job& job) const;
   void Requeue(Job& job, Item& item, absl::Duration pause, std::string_view reason);
   void ListItem(Job& job, Item& item, ItemState state);
@@ -163,6 +167,7 @@
   std::uint64_t next_run_ = 1;
   StoreClock store_clock_;
   ModelOwners* owners_ = nullptr;
+  absl::Time store_away_at_ = absl::InfinitePast();   // the last time the whole store was away
   absl::Time read_failed_at_ = absl::InfinitePast();  // the last time the store did not answer
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::set<std::string> taking_over_;
--- a/src/serving/scoring.cc
+++ b/src/serving/scoring.cc
@@ -30,6 +30,7 @@
   ScoringRequest request;
   int failures = 0;
   int least_attempts = 1;
+  std::function<bool()> may_send;
   Done done;
   int sent = 0;     // attempts
   int retries = 0;  // attempts since the last sign that it ran
@@ -49,13 +50,15 @@
   return it == calls_.end() ? nullptr : it->second.get();
 }
 
-ScoringId ScoringCalls::Start(ScoringRequest request, int failures, int least_attempts, Done done) {
+ScoringId ScoringCalls::Start(ScoringRequest request, int failures, int least_attempts,
+                              std::function<bool()> may_send, Done done) {
   const ScoringId id = next_++;
   std::unique_ptr<Call> owned = std::make_unique<Call>();
   owned->id = id;
   owned->request = std::move(request);
   owned->failures = failures;
   owned->least_attempts = least_attempts;
+  owned->may_send = std::move(may_send);
   owned->done = std::move(done);
   owned->started = loop_.Now();
   calls_[id] = std::move(owned);
@@ -86,7 +89,7 @@
   for (const ScoringId id : waiting) {
     if (in_progress_ >= static_cast<int>(limit_.most)) break;
     Call* const call = Find(id);
-    if (call == nullptr || !call->attempts.empty()) continue;
+    if (call == nullptr || !call->attempts.empty() || !call->may_send()) continue;
     // Each attempt follows the policy in force; without a route the call waits until its item is given up.
     const Route* route = directory_.FindRoute(call->request.host, call->request.target);
     if (route == nullptr) continue;
@@ -149,7 +152,7 @@
   Call& call = *Find(id);
   call.hedge = loop_.After(delay, [this, id] {
     Call* const found = Find(id);
-    if (found == nullptr || found->attempts.size() != 1 || hedges_left_ < 1) return;
+    if (found == nullptr || found->attempts.size() != 1 || hedges_left_ < 1 || !found->may_send()) return;
     found->hedge = 0;
     const Route* route = directory_.FindRoute(found->request.host, found->request.target);
     if (route == nullptr) return;
--- a/src/serving/scoring.h
+++ b/src/serving/scoring.h
@@ -36,8 +36,10 @@
   ScoringCalls(Loop& loop, UpstreamLink& link, Directory& directory, std::string zone);
   ~ScoringCalls();
   // `failures`: answers that an earlier owner of the item had; `least_attempts`: failures that are borne at
-  // any rate, whatever the scoring route says. `done` runs once, never from inside this call.
-  ScoringId Start(ScoringRequest request, int failures, int least_attempts, Done done);
+  // any rate, whatever the scoring route says. `may_send`: asked before each attempt. `done` runs once, never
+  // from inside this call.
+  ScoringId Start(ScoringRequest request, int failures, int least_attempts, std::function<bool()> may_send,
+                  Done done);
   // Upstreams stop working for it; `done` is not called.
   void Cancel(ScoringId id);
   // Answers that said that it failed, so far; 0 if there is no such call.
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -332,6 +332,39 @@
   EXPECT_EQ(ended.value(), BatchOutcome::kOk);
 }
 
+// Replays an overloaded store that refuses the writes of one job and answers all else, while the job is ended
+// at another host: the owner cannot notice the end, so it must stop by itself to start items.
+TEST_F(BatchServiceTest, AnOwnerWithoutConfirmationStartsNothingNew) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  AddScorers(1);
+  engines.List(first.directory);
+  BatchSubmission job = MakeScoredJob(kJob, 60);
+  for (int it = 0; it < 60; ++it) engines.lengths[absl::StrCat("item", it)] = 25;
+  ASSERT_EQ(SubmitNow(first, std::move(job)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(300));
+  first.store.commit_fault = [](const Transaction&) { return StoreFault::kRefuse; };
+  std::optional<BatchOutcome> ended;
+  second.batches->End(kJob, [&ended](BatchOutcome outcome) { ended = outcome; });
+  loop.RunFor(absl::Milliseconds(20));
+  ASSERT_EQ(ended.value(), BatchOutcome::kOk);
+  const absl::Time acknowledged = loop.Now();
+  loop.RunFor(absl::Seconds(8));
+  EXPECT_EQ(first.batches->OwnedJobs(), 1) << "it has not noticed the end";
+  for (const fakes::RunRecord& it : engines.runs) EXPECT_LT(it.at, acknowledged + absl::Seconds(3));
+}
+
+// Guards against engines that stand idle because the store is away: nobody can end a job meanwhile.
+TEST_F(BatchServiceTest, ItemsStartWhileTheStoreIsAway) {
+  TestHost& host = AddHost("h1");
+  for (int it = 0; it < 60; ++it) engines.lengths[absl::StrCat("item", it)] = 25;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 60)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(300));
+  host.store.cut = true;
+  loop.RunFor(absl::Seconds(8));
+  EXPECT_EQ(engines.runs.size(), 60u);
+}
+
 // Guards against labels that name the version ordered instead of the one that generated, and against old
 // tokens.
 TEST_F(BatchServiceTest, LabelsNameTheVersionsThatGeneratedTheEvents) {
--- a/tests/scoring_test.cc
+++ b/tests/scoring_test.cc
@@ -29,8 +29,9 @@
     }
   }
   ScoringId Start(int n = 1, int failures = 0) {
-    return calls.Start({absl::StrCat("score", n), "app.example", "/l/x", "body"}, failures, 1,
-                       [this](const ScoringOutcome& outcome) { outcomes.push_back(outcome); });
+    return calls.Start(
+        {absl::StrCat("score", n), "app.example", "/l/x", "body"}, failures, 1, [] { return true; },
+        [this](const ScoringOutcome& outcome) { outcomes.push_back(outcome); });
   }
   void AllAnswer(const ScriptedLink::Script& script) {
     for (const char* id : {"u1", "u2", "u3"}) link.scripts[id].assign(200, script);
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -241,6 +241,20 @@
         writer.transport.abort() if self.fault else writer.close()
 
 
+def stamp_of(request):
+    """The signature of a service's answer; the score of an item is the one of its scoring call."""
+    return f"st-{request}"
+
+
+async def send_without_end(writer, head):
+    """Bytes that are no answer, until the caller closes."""
+    writer.write(head)
+    for _ in range(1 << 12):
+        writer.write(b"x" * (1 << 14))
+        await writer.drain()
+    writer.transport.abort()
+
+
 class Books:
     """What upstreams saw."""
 
@@ -250,6 +264,8 @@
         self.orders = []                           # (time, engine, holder, fence)
         self.service_runs = collections.Counter()  # by request id
         self.load_questions = 0
+        self.whole_at = {}                         # by item: when its last event was first made
+        self.scored_at = {}                        # by scoring request: its first arrival
 
 
 class Engine(Server):
@@ -261,7 +277,7 @@
         self.loading = None
         self.running = 0
         self.proxy = Proxy()  # between hosts and this engine
-        self.fault = ""   # "", silent, break, fail
+        self.fault = ""   # "", silent, break, fail, endless
         self.beats = 0
         self.born = int(time.time() * 1000)
         self.up = False
@@ -322,6 +338,9 @@
         if self.fault == "fail":
             writer.write(response(500, headers=[("Request-Id", item), ("Server-Stamp", "s")]))
             return True
+        if self.fault == "endless":
+            await send_without_end(writer, b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: ")
+            return False
         version = self.versions[model]
         writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: {item}\r\nServer-Stamp: s\r\n"
                       f"Weight-Versions: {version}\r\nServer-Load: {load[1]}\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
@@ -335,6 +354,8 @@
                     return False
                 label = f"weight-versions: {self.versions[model]}\n" if self.versions[model] != version else ""
                 version = self.versions[model]
+                if number == int(headers["x-events"]):
+                    self.books.whole_at.setdefault(item, time.monotonic())
                 event = f"{label}id: {number}\ndata: {event_data(item, number, version)}\n\n".encode()
                 if self.fault == "break" and number % 7 == 0:
                     writer.write(f"{len(event):x}\r\n".encode() + event[: len(event) // 2])
@@ -350,7 +371,8 @@
 
 
 class Service(Server):
-    """Answers lookups and calls that may run once. fault: "", lose (runs and does not answer), shed."""
+    """Answers lookups, scoring calls and calls that may run once. fault: "", lose (runs and does not answer), shed,
+    fail, slow, endless."""
 
     def __init__(self, name, zone, store, books):
         super().__init__()
@@ -376,9 +398,18 @@
             writer.write(response(503, headers=[("Not-Run", "1"), ("Request-Id", request)]))
             return True
         self.books.service_runs[request] += 1
-        await asyncio.sleep(0.005)
+        if target.startswith("/score/"):
+            self.books.scored_at.setdefault(request, time.monotonic())
+            self.books.arrivals.append((time.monotonic(), request, self.name))
+        if self.fault == "endless":
+            await send_without_end(writer, b"HTTP/1.1 200 OK\r\nX-Header: ")
+            return False
+        await asyncio.sleep(0.3 if self.fault == "slow" else 0.005)
+        if self.fault == "fail" or target.endswith("/always-fails"):
+            writer.write(response(500, headers=[("Request-Id", request), ("Server-Stamp", "failed")]))
+            return True
         if self.fault == "lose":
             writer.transport.abort()
             return False
-        writer.write(response(200, body + b"|" + request.encode(), [("Request-Id", request), ("Server-Stamp", "s")]))
+        writer.write(response(200, body + b"|" + request.encode(), [("Request-Id", request), ("Server-Stamp", stamp_of(request))]))
         return True
