Bound an owner's work by its step, not by the fleet

Holders of weights leases compared every engine with every other each tick.

Small fleets are used as a whole, as before.

--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -68,6 +68,9 @@
   absl::Time loads_until = absl::InfinitePast();
   bool frozen = false;  // nothing new is started
   bool handing_over = false;
+  std::vector<UpstreamState*> share;  // engines that it uses; of the list's generation `share_of`
+  std::uint64_t share_of = 0;
+  absl::Time share_until = absl::InfinitePast();
   std::map<std::string, std::string> group_upstream;  // that has read the group's prompt
   std::deque<ItemResult> pending;                     // results without a position
   std::optional<Transaction> attempt;  // write in progress; repeated as it is until its outcome is known
@@ -81,6 +84,7 @@
   absl::Time confirmed_at;  // sending of the last write that the store has confirmed
   absl::Time last_checkpoint;
   bool checkpoint_in_flight = false;
+  std::size_t checkpoint_from = 0;              // item with which the next round begins
   std::vector<std::string> partials_to_remove;  // item ids
 };
 
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -24,6 +24,10 @@
 constexpr absl::Duration kLoadQuestionGap = absl::Milliseconds(60);  // between questions to one upstream
 constexpr absl::Duration kQuestionEvery = absl::Milliseconds(60);    // for one run
 constexpr absl::Duration kLoadsPatience = absl::Milliseconds(30);    // some links take no answers back
+constexpr absl::Duration kShareMemory =
+    absl::Milliseconds(200);  // until items and weights are looked at again
+constexpr std::size_t kMaxCheckpointBytes =
+    1 << 20;  // of running texts in one round; the rest waits for the next
 constexpr std::size_t kDecisiveByHint =
     8;  // one item in so many; hints find nine of ten of the longest there
 constexpr std::size_t kDecisiveWhenLeft = 3;    // the last third of the items is longer than usual
@@ -157,13 +161,21 @@
     bytes += size;
     return transactions.back();
   };
-  for (Item& it : job.items) {
+  std::size_t written = 0;
+  // Each round begins where the last one ran out of room.
+  for (std::size_t n = 0; n < job.items.size(); ++n) {
+    Item& it = job.items[(job.checkpoint_from + n) % job.items.size()];
     if (it.phase == Phase::kListed || it.events == 0 || it.versions.empty()) continue;
     const bool whole = it.phase == Phase::kScoring;
     const std::int64_t fresh = it.events - it.checkpointed_events;
     const bool news = fresh > 0 || whole != it.checkpointed_whole;
     const bool waits_long = whole && loop_.Now() - it.text_whole >= settings_.keep_whole_after;
     if (!news || !(all || waits_long || (!whole && fresh >= kCheckpointEvents))) continue;
+    if (!all && written > kMaxCheckpointBytes) {
+      job.checkpoint_from = it.index;
+      break;
+    }
+    written += it.output.size();
     PartialText partial;
     partial.item = it.spec.id;
     partial.output = it.output;
@@ -284,12 +296,7 @@
     Job& job = *it.second;
     if (!job.ready || job.frozen || !MayStart(job) || (job.loads_pending > 0 && now < job.loads_until))
       continue;
-    const std::vector<std::size_t> ranks(job.waiting.begin(), job.waiting.end());
-    for (const std::size_t rank : ranks) {
-      Item& item = job.items[job.order[rank]];
-      if (now < item.not_before) continue;
-      if (!PlaceItem(job, item)) break;
-    }
+    if (!job.waiting.empty()) PlaceItems(job);
   }
   dispatching_ = false;
 }
@@ -304,30 +311,67 @@
   return choice;
 }
 
-// False: no upstream has room for any item of this job.
-bool BatchService::PlaceItem(Job& job, Item& item) {
+// The engines that this host uses for the job, by the size of the steps that it has in hand for its model: the
+// last items of a step need the choice that the first ones had.
+const std::vector<UpstreamState*>& BatchService::Share(Job& job, const std::string& service) {
+  const absl::Time now = loop_.Now();
+  if (job.share_of == directory_.Generation() && now < job.share_until) return job.share;
+  int items = 0;
+  for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) {
+    if (it.second->submission.model == job.submission.model)
+      items += static_cast<int>(it.second->items.size());
+  }
+  job.share =
+      EngineShare(directory_.Usable(service), job.submission.model, job.submission.min_version, items);
+  job.share_of = directory_.Generation();
+  job.share_until = now + kShareMemory;
+  return job.share;
+}
+
+// Starts waiting items in the order of their ranks, until no upstream has room for one.
+void BatchService::PlaceItems(Job& job) {
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
-  if (route == nullptr || route->services.empty()) return false;
-  ItemChoice choice = MakeChoice(job, item, *route);
-  choice.avoided = item.avoided;
-  const auto group = job.group_upstream.find(item.spec.group);
-  if (group != job.group_upstream.end()) choice.preferred = group->second;
-  const std::vector<UpstreamState*> usable = directory_.Usable(route->services.front().service);
-  UpstreamState* upstream = PickForItem(usable, choice);
-  if (upstream == nullptr && choice.exact_version != 0) {
-    // No engine holds the version of its text any more.
-    bool held = false;
-    for (const UpstreamState* it : usable)
-      held = held || WeightsOf(*it, choice.model) == choice.exact_version;
-    if (held) return true;
-    DropText(item);
-    choice.exact_version = 0;
-    upstream = PickForItem(usable, choice);
+  if (route == nullptr || route->services.empty()) return;
+  const std::vector<UpstreamState*> share = Share(job, route->services.front().service);
+  const absl::Time now = loop_.Now();
+  std::optional<PlacementCosts> costs;
+  const std::vector<std::size_t> ranks(job.waiting.begin(), job.waiting.end());
+  for (const std::size_t rank : ranks) {
+    Item& item = job.items[job.order[rank]];
+    if (now < item.not_before) continue;
+    ItemChoice choice = MakeChoice(job, item, *route);
+    choice.avoided = item.avoided;
+    const auto group = job.group_upstream.find(item.spec.group);
+    if (group != job.group_upstream.end()) choice.preferred = group->second;
+    UpstreamState* upstream = nullptr;
+    if (choice.exact_version != 0) {
+      bool wait = false;
+      upstream = PickExact(item, share, choice, wait);
+      if (wait) continue;
+    } else {
+      if (!costs) costs = CostsForItems(share, choice);
+      upstream = PickByCost(*costs, choice);
+    }
+    if (upstream == nullptr) return;
+    job.group_upstream[item.spec.group] = upstream->entry.id;
+    StartRun(job, item, *upstream);
+    if (costs) UpdateCost(*costs, *upstream, choice);
   }
-  if (upstream == nullptr) return false;
-  job.group_upstream[item.spec.group] = upstream->entry.id;
-  StartRun(job, item, *upstream);
-  return true;
+}
+
+// For an item whose text has to go on under the version that it has. `wait`: only full engines hold it.
+UpstreamState* BatchService::PickExact(Item& item, const std::vector<UpstreamState*>& share,
+                                       ItemChoice choice, bool& wait) {
+  UpstreamState* const upstream = PickForItem(share, choice);
+  if (upstream != nullptr) return upstream;
+  wait = std::any_of(share.begin(), share.end(), [&choice](const UpstreamState* it) {
+    return WeightsOf(*it, choice.model) == choice.exact_version;
+  });
+  if (wait) return nullptr;
+  // No engine holds the version of its text any more.
+  DropText(item);
+  choice.exact_version = 0;
+  return PickForItem(share, choice);
 }
 
 void BatchService::StartRun(Job& job, Item& item, UpstreamState& upstream) {
@@ -657,7 +701,7 @@
                                 : directory_.FindService(route->services.front().service);
   if (spec == nullptr) return;
   job.loads_until = loop_.Now() + kLoadsPatience;
-  for (UpstreamState* it : directory_.Usable(spec->name)) {
+  for (UpstreamState* it : Share(job, spec->name)) {
     if (WeightsOf(*it, job.submission.model) < job.submission.min_version) continue;
     const bool asked = AskLoad(*spec, *it, [this, id = job.submission.id] {
       Job* const found = FindJob(id);
@@ -681,12 +725,13 @@
   const ServiceSpec* spec = directory_.FindService(route->services.front().service);
   if (spec == nullptr) return;
   const absl::Time now = loop_.Now();
-  const std::vector<UpstreamState*> usable = directory_.Usable(spec->name);
+  const std::vector<UpstreamState*> usable = Share(job, spec->name);
   const double usual = MedianPace(usable);
   const bool loads_told = std::any_of(usable.begin(), usable.end(), [](const UpstreamState* it) {
     return it->load_at > absl::InfinitePast();
   });
   bool moved = false;
+  std::optional<PlacementCosts> costs;
   for (const std::size_t index : job.order) {
     Item& it = job.items[index];
     if (it.phase != Phase::kRunning) continue;
@@ -706,7 +751,11 @@
     if (!progress.decisive && progress.since_start < kLeastRunBeforeMove) continue;
     ItemChoice choice = MakeChoice(job, it, *route);
     choice.excluded = {it.upstream};
-    UpstreamState* const other = PickForItem(usable, choice);
+    if (!costs && choice.exact_version == 0) costs = CostsForItems(usable, choice);
+    const std::function<UpstreamState*()> pick = [&] {
+      return choice.exact_version == 0 ? PickByCost(*costs, choice) : PickForItem(usable, choice);
+    };
+    UpstreamState* const other = pick();
     if (other == nullptr) continue;
     UpstreamState* const upstream = directory_.Find(it.upstream);
     progress.gap_ms = upstream == nullptr ? usual : ExpectedGap(*upstream, usual, now);
@@ -728,7 +777,7 @@
       AskLoad(*spec, *other, judge);
       // The best by what was known may have changed; a second one is asked along with it.
       choice.excluded.push_back(other->entry.id);
-      UpstreamState* const second = PickForItem(usable, choice);
+      UpstreamState* const second = pick();
       if (second != nullptr) AskLoad(*spec, *second, judge);
     }
     if (verdict != RunVerdict::kMove) continue;
@@ -747,6 +796,7 @@
     // Started there at once, so that the next run sees the slot taken.
     Requeue(job, it, absl::ZeroDuration(), "slow");
     StartRun(job, it, *other);
+    if (costs) UpdateCost(*costs, *other, choice);
     moved = true;
   }
   if (moved) Dispatch();
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -124,7 +124,10 @@
 
   void Dispatch();
   ItemChoice MakeChoice(const Job& job, const Item& item, const Route& route) const;
-  bool PlaceItem(Job& job, Item& item);
+  const std::vector<UpstreamState*>& Share(Job& job, const std::string& service);
+  void PlaceItems(Job& job);
+  UpstreamState* PickExact(Item& item, const std::vector<UpstreamState*>& share, ItemChoice choice,
+                           bool& wait);
   void StartRun(Job& job, Item& item, UpstreamState& upstream);
   void OnRunHead(const std::string& job, std::size_t item, std::uint64_t run, const AnswerHead& head);
   void OnRunBytes(const std::string& job, std::size_t item, std::uint64_t run, std::string_view bytes);
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -25,11 +26,12 @@
 constexpr double kRetryAfterSpread = 0.3;      // seconds
 constexpr double kRetryShareOfTimeLeft = 0.3;  // callers wait at most a third of it
 constexpr absl::Duration kGapMemory = absl::Milliseconds(400);  // neighbours slow an engine for half a second
-constexpr double kLoadCost = 0.5;        // of a full engine; above the true cost, since paces are uncertain
-constexpr double kGroupShare = 0.1;      // worth of an engine that has read the prompt
-constexpr double kOtherZoneCost = 0.03;  // bytes between zones are few
-constexpr double kAvoidedCost = 0.5;     // of the engine that just failed the item
-constexpr double kSlowFactor = 1.8;      // times the gap elsewhere
+constexpr double kLoadCost = 0.5;    // of a full engine; above the true cost, since paces are uncertain
+constexpr int kSlotsPerItem = 3;     // of an owner's share of the engines: room to choose fast and empty ones
+constexpr double kGroupShare = 0.1;  // worth of an engine that has read the prompt
+constexpr double kOtherZoneCost = 0.03;                            // bytes between zones are few
+constexpr double kAvoidedCost = 0.5;                               // of the engine that just failed the item
+constexpr double kSlowFactor = 1.8;                                // times the gap elsewhere
 constexpr absl::Duration kLeastRunOfShortItem = absl::Seconds(1);  // a neighbour's burst is over by then
 constexpr int kEventsToJudge = 6;    // events of a run before its pace is judged
 constexpr double kLateFactor = 1.4;  // times the pace: other requests' prompts delay an event by less
@@ -200,33 +202,85 @@
   return std::min(kLeastRetryAfter + kRetryAfterSpread * unit, std::max(0.0, most));
 }
 
-UpstreamState* PickForItem(const std::vector<UpstreamState*>& usable, const ItemChoice& choice) {
+namespace {
+
+double CostForItem(const UpstreamState& upstream, const ItemChoice& choice, double usual_gap_ms) {
+  const double impossible = std::numeric_limits<double>::infinity();
+  const std::int64_t held = WeightsOf(upstream, choice.model);
+  if (held < choice.min_version || choice.now < upstream.avoid_until) return impossible;
+  if (choice.exact_version != 0 && held != choice.exact_version) return impossible;
+  const auto loading = upstream.loading_until.find(choice.model);
+  if (loading != upstream.loading_until.end() && choice.now < loading->second) return impossible;
+  const int slots = std::max(1, upstream.entry.slots);
+  const int running = EstimateRunning(upstream, choice.now);
+  if (running >= slots) return impossible;
+  const double cost =
+      ExpectedGap(upstream, usual_gap_ms, choice.now) / usual_gap_ms * (1 + kLoadCost * running / slots);
+  return cost + (upstream.entry.zone == choice.zone ? 0 : kOtherZoneCost);
+}
+
+}  // namespace
+
+PlacementCosts CostsForItems(const std::vector<UpstreamState*>& usable, const ItemChoice& choice) {
+  PlacementCosts costs;
   const double known = MedianPace(usable);
-  const double usual = known > 0 ? known : 1;  // only ratios count
+  if (known > 0) costs.usual_gap_ms = known;  // else only ratios count
+  costs.upstreams = usable;
+  costs.costs.reserve(usable.size());
+  for (const UpstreamState* it : usable) costs.costs.push_back(CostForItem(*it, choice, costs.usual_gap_ms));
+  return costs;
+}
+
+UpstreamState* PickByCost(const PlacementCosts& costs, const ItemChoice& choice) {
   UpstreamState* best = nullptr;
-  double best_cost = 0;
-  for (UpstreamState* it : usable) {
-    const std::int64_t held = WeightsOf(*it, choice.model);
-    if (held < choice.min_version || Contains(choice.excluded, it->entry.id)) continue;
-    if (choice.exact_version != 0 && held != choice.exact_version) continue;
-    if (choice.now < it->avoid_until) continue;
-    const auto loading = it->loading_until.find(choice.model);
-    if (loading != it->loading_until.end() && choice.now < loading->second) continue;
-    const int slots = std::max(1, it->entry.slots);
-    const int running = EstimateRunning(*it, choice.now);
-    if (running >= slots) continue;
-    double cost = ExpectedGap(*it, usual, choice.now) / usual * (1 + kLoadCost * running / slots);
-    if (it->entry.id == choice.preferred) cost -= kGroupShare;
-    if (it->entry.id == choice.avoided) cost += kAvoidedCost;
-    if (it->entry.zone != choice.zone) cost += kOtherZoneCost;
-    if (best == nullptr || cost < best_cost) {
-      best = it;
-      best_cost = cost;
-    }
+  double best_cost = std::numeric_limits<double>::infinity();
+  for (std::size_t it = 0; it < costs.upstreams.size(); ++it) {
+    // What the item itself adds takes off a tenth at most, so most upstreams are passed over by one
+    // comparison.
+    if (costs.costs[it] - kGroupShare >= best_cost) continue;
+    const std::string& id = costs.upstreams[it]->entry.id;
+    double cost = costs.costs[it];
+    if (id == choice.preferred) cost -= kGroupShare;
+    if (id == choice.avoided) cost += kAvoidedCost;
+    if (cost >= best_cost || Contains(choice.excluded, id)) continue;
+    best = costs.upstreams[it];
+    best_cost = cost;
   }
   return best;
 }
 
+void UpdateCost(PlacementCosts& costs, const UpstreamState& upstream, const ItemChoice& choice) {
+  for (std::size_t it = 0; it < costs.upstreams.size(); ++it) {
+    if (costs.upstreams[it] == &upstream) costs.costs[it] = CostForItem(upstream, choice, costs.usual_gap_ms);
+  }
+}
+
+UpstreamState* PickForItem(const std::vector<UpstreamState*>& usable, const ItemChoice& choice) {
+  return PickByCost(CostsForItems(usable, choice), choice);
+}
+
+std::vector<UpstreamState*> EngineShare(const std::vector<UpstreamState*>& usable, const std::string& model,
+                                        std::int64_t min_version, int items) {
+  const int wanted = items * kSlotsPerItem;
+  int slots = 0;
+  for (const UpstreamState* it : usable) slots += std::max(1, it->entry.slots);
+  if (slots <= wanted) return usable;
+  std::vector<std::pair<std::uint64_t, UpstreamState*>> ranked;
+  for (UpstreamState* it : usable) {
+    if (WeightsOf(*it, model) < min_version) continue;
+    ranked.push_back({HashText(absl::StrCat(model, "/", it->entry.id)), it});
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<UpstreamState*> share;
+  slots = 0;
+  for (const std::pair<std::uint64_t, UpstreamState*>& it : ranked) {
+    if (slots >= wanted) break;
+    share.push_back(it.second);
+    slots += std::max(1, it.second->entry.slots);
+  }
+  return share;
+}
+
 double MedianPace(const std::vector<UpstreamState*>& usable) {
   std::vector<double> paces;
   for (const UpstreamState* it : usable) {
@@ -302,7 +356,7 @@
     int newest = 0;
     int too_old = 0;
     for (const EngineWeights& it : engines) {
-      if (!Contains(holders->second, it.id)) continue;
+      if (!std::binary_search(holders->second.begin(), holders->second.end(), it.id)) continue;
       const auto held = it.held.find(name.first);
       const std::int64_t behind = name.second - (held == it.held.end() ? 0 : held->second);
       if (behind <= 0) {
@@ -353,6 +407,7 @@
       assigned[model].push_back(order[it].second);
       ++models_of[order[it].second];
     }
+    std::sort(assigned[model].begin(), assigned[model].end());
   }
   return assigned;
 }
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -98,6 +98,25 @@
 // times the slots.
 UpstreamState* PickForItem(const std::vector<UpstreamState*>& usable, const ItemChoice& choice);
 
+// The same for many items of one job: what a placement costs on each upstream is worked out once, and again
+// only for the upstream that got an item. `exact_version` is that of `choice` in all calls.
+struct PlacementCosts {
+  std::vector<UpstreamState*> upstreams;  //
+  std::vector<double> costs;              // infinite: cannot run it or has no room
+  double usual_gap_ms = 1;                // median pace
+};
+PlacementCosts CostsForItems(const std::vector<UpstreamState*>& usable, const ItemChoice& choice);
+UpstreamState* PickByCost(const PlacementCosts& costs, const ItemChoice& choice);
+// `upstream` got or lost an item.
+void UpdateCost(PlacementCosts& costs, const UpstreamState& upstream, const ItemChoice& choice);
+
+// The engines that an owner uses for `items` items: the first ones by a rank that all steps of the model
+// share, until they have three slots for each item; all engines where that is more than there are. Load
+// answered: a fleet with ten times the engines that a step can fill, where asking each for its load,
+// connecting to it and weighing it for each item costs the owner more than its items do.
+std::vector<UpstreamState*> EngineShare(const std::vector<UpstreamState*>& usable, const std::string& model,
+                                        std::int64_t min_version, int items);
+
 // Requests that an upstream has now, as far as this host can tell: its own, and those of others by a recent
 // report.
 int EstimateRunning(const UpstreamState& upstream, absl::Time now);
@@ -165,7 +184,8 @@
 int MostLoadsAtOnce(int engines);
 
 // The engines that hold each model, `copies` of the engines' count shared among the models: 1 assigns each
-// engine to one model. Stable: an engine keeps its models when others come or go, as far as the shares allow.
+// engine to one model. Sorted by id, as PickLoad expects. Stable: an engine keeps its models when others come
+// or go, as far as the shares allow.
 std::map<std::string, std::vector<std::string>> AssignModels(const std::vector<std::string>& engines,
                                                              const std::vector<std::string>& models,
                                                              double copies);
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -47,6 +47,10 @@
 
 void Directory::ApplyUpstream(const UpstreamEntry& entry) {
   UpstreamState& state = upstreams_[entry.id];
+  if (!state.listed || state.entry.id.empty() || state.entry.draining != entry.draining ||
+      state.entry.service != entry.service || state.entry.started_ms != entry.started_ms) {
+    ListChanged();
+  }
   // A new start under an old id knows nothing of before; calls in progress keep their count.
   if (state.entry.started_ms != entry.started_ms) {
     const int in_flight = state.in_flight;
@@ -68,13 +72,24 @@
   const auto it = upstreams_.find(id);
   if (it == upstreams_.end()) return;
   it->second.removal_due = std::min(it->second.removal_due, due);
-  if (it->second.removal_due <= now) it->second.listed = false;
+  if (it->second.removal_due > now || !it->second.listed) return;
+  it->second.listed = false;
+  ListChanged();
+}
+
+void Directory::ListChanged() {
+  ++generation_;
+  usable_.clear();
 }
 
 void Directory::Expire(absl::Time now) {
   for (auto it = upstreams_.begin(); it != upstreams_.end();) {
-    if (it->second.removal_due <= now) it->second.listed = false;
+    if (it->second.removal_due <= now && it->second.listed) {
+      it->second.listed = false;
+      ListChanged();
+    }
     if (!it->second.listed && it->second.in_flight == 0) {
+      ListChanged();
       it = upstreams_.erase(it);
     } else {
       ++it;
@@ -87,8 +102,10 @@
   return it == upstreams_.end() ? nullptr : &it->second;
 }
 
-std::vector<UpstreamState*> Directory::Usable(std::string_view service) {
-  std::vector<UpstreamState*> usable;
+const std::vector<UpstreamState*>& Directory::Usable(std::string_view service) {
+  const auto known = usable_.find(service);
+  if (known != usable_.end()) return known->second;
+  std::vector<UpstreamState*>& usable = usable_[std::string(service)];
   for (std::pair<const std::string, UpstreamState>& it : upstreams_) {
     if (it.second.listed && !it.second.entry.draining && it.second.entry.service == service) {
       usable.push_back(&it.second);
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -4,6 +4,7 @@
 #define OLEANDER_SRC_SERVING_DIRECTORY_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -55,17 +56,24 @@
   void Expire(absl::Time now);
 
   UpstreamState* Find(const std::string& id);
-  // Upstreams of a service that may get new work, in the order of their ids.
-  std::vector<UpstreamState*> Usable(std::string_view service);
+  // Upstreams of a service that may get new work, in the order of their ids. Valid until Generation()
+  // changes.
+  const std::vector<UpstreamState*>& Usable(std::string_view service);
+  // Grows with each change of what Usable returns.
+  std::uint64_t Generation() const { return generation_; }
 
   // Newest version that each trainer has named.
   void NameVersion(const std::string& model, std::int64_t version);
   const std::map<std::string, std::int64_t>& NamedVersions() const { return named_versions_; }
 
  private:
+  void ListChanged();
+
   Policy policy_;
   std::map<std::string, UpstreamState> upstreams_;
   std::map<std::string, std::int64_t> named_versions_;
+  std::uint64_t generation_ = 1;
+  std::map<std::string, std::vector<UpstreamState*>, std::less<>> usable_;  // made when asked for
 };
 
 // Version of the model's weights that the upstream is believed to hold; 0: not known.
--- a/src/serving/weights_control.cc
+++ b/src/serving/weights_control.cc
@@ -51,7 +51,10 @@
   for (const ServiceSpec& spec : directory_.PolicyInForce().services) {
     if (spec.models.empty()) continue;
     Service& service = services_[spec.name];
-    for (const UpstreamState* it : directory_.Usable(spec.name)) service.leases.try_emplace(it->entry.zone);
+    if (service.zones_of != directory_.Generation()) {
+      service.zones_of = directory_.Generation();
+      for (const UpstreamState* it : directory_.Usable(spec.name)) service.leases.try_emplace(it->entry.zone);
+    }
     bool holder = false;
     for (std::pair<const std::string, Lease>& it : service.leases) {
       if (!it.second.holder) continue;
@@ -199,7 +202,7 @@
     }
   }
   std::erase_if(service.engines, [&present](const std::pair<const std::string, Engine>& it) {
-    return std::find(present.begin(), present.end(), it.first) == present.end();
+    return !std::binary_search(present.begin(), present.end(), it.first);  // the directory lists them by id
   });
   if (present != service.assigned_for) {
     service.assigned = AssignModels(present, spec.models, settings_.copies);
--- a/tests/decisions_test.cc
+++ b/tests/decisions_test.cc
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 namespace oleander::serving {
 namespace {
 
@@ -87,6 +90,101 @@
   EXPECT_EQ(ExpectedGap(upstream, 50, kNow), 125);
 }
 
+// ---- Engines of an owner
+
+std::vector<UpstreamState*> Pointers(std::vector<UpstreamState>& states) {
+  std::vector<UpstreamState*> pointers;
+  for (UpstreamState& it : states) pointers.push_back(&it);
+  return pointers;
+}
+
+std::vector<UpstreamState> Engines(int n, int slots) {
+  std::vector<UpstreamState> states(static_cast<std::size_t>(n));
+  for (int it = 0; it < n; ++it) {
+    states[it].entry.id = "e" + std::to_string(it);
+    states[it].entry.zone = "z";
+    states[it].entry.slots = slots;
+    states[it].observed_weights["words"] = it % 2 == 0 ? 5 : 6;
+  }
+  return states;
+}
+
+// Replays a step of 600 items before 1,500 engines of six slots: weighing all of them for each item took an
+// owner with an eighth of a core seconds.
+TEST(EngineShareTest, AStepUsesTheEnginesThatItCanFill) {
+  std::vector<UpstreamState> states = Engines(1500, 6);
+  const std::vector<UpstreamState*> usable = Pointers(states);
+  const std::vector<UpstreamState*> share = EngineShare(usable, "words", 6, 600);
+  EXPECT_EQ(share.size(), 300u) << "three slots an item";
+  for (const UpstreamState* it : share) EXPECT_EQ(it->observed_weights.at("words"), 6);
+  EXPECT_EQ(EngineShare(usable, "words", 6, 600), share) << "the next step finds its connections again";
+  const std::vector<UpstreamState*> other = EngineShare(usable, "numbers", 0, 600);
+  EXPECT_NE(other, share) << "models begin with different engines";
+}
+
+// Guards against engines that are left out where a step needs them all.
+TEST(EngineShareTest, ASmallFleetIsUsedAsAWhole) {
+  std::vector<UpstreamState> states = Engines(42, 6);
+  const std::vector<UpstreamState*> usable = Pointers(states);
+  EXPECT_EQ(EngineShare(usable, "words", 6, 192), usable);
+}
+
+// Guards against a step that is placed on what the costs were before its first items.
+TEST(PlacementCostsTest, ManyItemsSpreadAsIfEachWereWeighedAlone) {
+  std::vector<UpstreamState> states = Engines(20, 6);
+  std::vector<UpstreamState> again = Engines(20, 6);
+  for (int it = 0; it < 20; ++it) states[it].pace_ms = again[it].pace_ms = 40 + it;
+  ItemChoice choice;
+  choice.model = "words";
+  choice.min_version = 5;
+  choice.zone = "z";
+  choice.now = kNow;
+  PlacementCosts costs = CostsForItems(Pointers(states), choice);
+  for (int it = 0; it < 130; ++it) {
+    choice.preferred = "e" + std::to_string(it % 7);
+    choice.avoided = "e" + std::to_string(it % 5);
+    UpstreamState* const one = PickByCost(costs, choice);
+    UpstreamState* const alone = PickForItem(Pointers(again), choice);
+    ASSERT_EQ(one == nullptr, alone == nullptr) << it;
+    if (one == nullptr) break;
+    ASSERT_EQ(one->entry.id, alone->entry.id) << it;
+    ++one->in_flight;
+    ++alone->in_flight;
+    UpdateCost(costs, *one, choice);
+  }
+  for (const UpstreamState& it : states) EXPECT_LE(it.in_flight, 6);
+}
+
+// Guards against a list of usable upstreams that is remembered over a change.
+TEST(DirectoryTest, UsableFollowsEachChange) {
+  Directory directory;
+  UpstreamEntry entry;
+  entry.id = "u1";
+  entry.service = "s";
+  entry.started_ms = 1;
+  EXPECT_TRUE(directory.Usable("s").empty());
+  directory.ApplyUpstream(entry);
+  EXPECT_EQ(directory.Usable("s").size(), 1u);
+  entry.draining = true;
+  directory.ApplyUpstream(entry);
+  EXPECT_TRUE(directory.Usable("s").empty());
+  entry.draining = false;
+  directory.ApplyUpstream(entry);
+  EXPECT_EQ(directory.Usable("s").size(), 1u);
+  entry.service = "t";
+  directory.ApplyUpstream(entry);
+  EXPECT_TRUE(directory.Usable("s").empty());
+  EXPECT_EQ(directory.Usable("t").size(), 1u);
+  directory.RemoveUpstream("u1", kNow, kNow + absl::Seconds(1));
+  EXPECT_EQ(directory.Usable("t").size(), 1u);
+  directory.Expire(kNow + absl::Seconds(2));
+  EXPECT_TRUE(directory.Usable("t").empty());
+  directory.ApplyUpstream(entry);
+  EXPECT_EQ(directory.Usable("t").size(), 1u);
+  directory.RemoveUpstream("u1", kNow, kNow);
+  EXPECT_TRUE(directory.Usable("t").empty());
+}
+
 // ---- Scoring calls
 
 std::vector<UpstreamState> Scorers(int n, int slots) {
@@ -98,12 +196,6 @@
   }
   return states;
 }
-std::vector<UpstreamState*> Pointers(std::vector<UpstreamState>& states) {
-  std::vector<UpstreamState*> pointers;
-  for (UpstreamState& it : states) pointers.push_back(&it);
-  return pointers;
-}
-
 // Replays a step whose 128 texts end together at three upstreams of six slots: a third of the slots stays
 // free for lookups, and the other calls wait at their owner.
 TEST(PickForScoringTest, ABurstLeavesSlotsToLookups) {
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -89,7 +89,8 @@
   if (partition == rows.end()) return reply;
   for (auto it = partition->second.lower_bound(range.from); it != partition->second.end(); ++it) {
     if (!range.to.empty() && it->first >= range.to) break;
-    if (range.limit > 0 && static_cast<int>(reply.rows.size()) >= range.limit) {
+    const int most = range.limit > 0 ? std::min(range.limit, most_rows) : most_rows;
+    if (static_cast<int>(reply.rows.size()) >= most) {
       reply.has_more = true;
       break;
     }
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -54,6 +54,7 @@
   std::map<std::string, std::string> objects;
   std::int64_t version = 0;
   std::int64_t commits = 0;
+  int most_rows = 500;  // of one answer
 };
 
 class StorePort : public Store {
