Explain a failed request from the logs: oleanderctl explain and batches

On-call engineers had the catalogue of events and grep. explain takes the id of a request, an item, a scoring call or a batch job and prints its time line over all hosts with the cause in one sentence: a host cut off from the store is told from full upstreams, an item that waited from one that ran slowly or waited for its score. batches answers which jobs finished, ran again or never came back.

--- a/programs/oleanderctl.cc
+++ b/programs/oleanderctl.cc
@@ -16,6 +16,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "oleander/client.h"
+#include "oleander/explain.h"
 
 namespace oleander {
 namespace {
@@ -37,8 +38,9 @@
     "  policy show | replace FILE [--base-version N]\n"
     "  exception list | add --scope S --changes JSON --reason TEXT | remove ID\n"
     "  hosts | upstreams | confirmations\n"
+    "  explain ID LOG... | batches LOG...        from the logs of all hosts; asks no host\n"
     "  capacity [--hosts N] [--engines N] [--trainers N] [--requests N]\n"
-    "FILE may be - for standard input. Exit codes: 0 done, 1 refused, 2 wrong usage, 3 conflict,\n"
+    "FILE and LOG may be - for standard input. Exit codes: 0 done, 1 refused, 2 wrong usage, 3 conflict,\n"
     "4 not found, 5 unavailable and nothing changed, 6 outcome unknown, 7 credential";
 
 struct Arguments {
@@ -298,7 +300,56 @@
   }
 }
 
+// Explains an id, or lists the batch jobs, from log files.
+int RunDiagnosis(const Arguments& args) {
+  const bool explains = args.words.front() == "explain";
+  const std::size_t first_log = explains ? 2 : 1;
+  if (args.words.size() <= first_log) {
+    std::cerr << "oleanderctl: " << args.words.front() << " needs " << (explains ? "an id and " : "")
+              << "a log\n";
+    return kExitUsage;
+  }
+  LogRead read;
+  for (std::size_t it = first_log; it < args.words.size(); ++it) {
+    if (args.words[it] == "-") {
+      ReadLogLines(std::cin, read);
+      continue;
+    }
+    std::ifstream file(args.words[it]);
+    if (!file) {
+      std::cerr << "oleanderctl: " << args.words[it] << " cannot be read\n";
+      return kExitUsage;
+    }
+    ReadLogLines(file, read);
+  }
+  SortLines(read);
+  if (read.unreadable > 0) std::cerr << "oleanderctl: " << read.unreadable << " lines cannot be read\n";
+  if (!explains) {
+    const Json rows = ListBatches(read);
+    if (args.json) {
+      std::cout << rows.dump(2) << "\n";
+    } else {
+      PrintText(rows, "");
+    }
+    return kExitDone;
+  }
+  const Explanation story = Explain(read, args.words[1]);
+  if (args.json) {
+    std::cout << Json{{"id", args.words[1]},
+                      {"kind", story.kind},
+                      {"cause", story.cause},
+                      {"time_line", story.time_line}}
+                     .dump(2)
+              << "\n";
+  } else {
+    for (const std::string& it : story.time_line) std::cout << it << "\n";
+    std::cout << (story.found ? story.kind + " " : "") << args.words[1] << ": " << story.cause << "\n";
+  }
+  return story.found ? kExitDone : kExitNotFound;
+}
+
 int Run(const Arguments& args) {
+  if (args.words.front() == "explain" || args.words.front() == "batches") return RunDiagnosis(args);
   const Outcome<Json> outcome = Capture<Json>([&] { return RunCommand(args); });
   if (!Ok(outcome)) {
     const Error& error = ErrorOf(outcome);
