--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -364,13 +364,16 @@
         continue;
       }
       too_old += behind > 1 ? 1 : 0;
-      candidates.push_back({&it, behind, HashText(absl::StrCat(name.first, "/", name.second, "/", it.id))});
+      candidates.push_back({&it, behind, 0});
     }
+    const int half = (static_cast<int>(holders->second.size()) + 1) / 2;
+    const int wanted = std::max(too_old, half - newest);
+    if (wanted <= 0) continue;  // the usual case between two versions; ranks cost more than all else here
+    for (Candidate& it : candidates)
+      it.rank = HashText(absl::StrCat(name.first, "/", name.second, "/", it.engine->id));
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
       return std::pair(-a.behind, a.rank) < std::pair(-b.behind, b.rank);
     });
-    const int half = (static_cast<int>(holders->second.size()) + 1) / 2;
-    const int wanted = std::max(too_old, half - newest);
     for (int it = 0; it < wanted && it < static_cast<int>(candidates.size()); ++it) {
       const Candidate& candidate = candidates[it];
       if (!candidate.engine->mine || candidate.engine->loading || now < candidate.engine->blocked_until)
--- a/src/serving/weights_control.cc
+++ b/src/serving/weights_control.cc
@@ -15,6 +15,8 @@
 constexpr absl::Duration kMargin = absl::Milliseconds(300);        // way of an order, and delays of timers
 constexpr absl::Duration kRefusedOrder = absl::Milliseconds(700);  // before the same engine is ordered again
 constexpr absl::Duration kStoreRetry = absl::Milliseconds(300);
+constexpr absl::Duration kOrdersPause =
+    absl::Microseconds(100);  // for each engine: looking at thousands takes milliseconds
 
 RowKey LeaseRow(const std::string& service, const std::string& zone) {
   return {std::string(kLeaseTable), std::string(kPartition), service + "/" + zone};
@@ -62,9 +64,10 @@
       if (!it.second.calling && now >= it.second.next_renewal) RenewLease(spec.name, it.first, it.second);
     }
     if (!service.watching && now >= service.next_watch) WatchLeases(spec.name, service);
-    if (holder) {
+    if (holder && now >= service.next_orders) {
       SyncEngines(spec, service);
       OrderLoads(spec, service);
+      service.next_orders = now + kOrdersPause * static_cast<double>(service.engines.size());
     }
   }
 }
--- a/src/serving/weights_control.h
+++ b/src/serving/weights_control.h
@@ -77,6 +77,7 @@
     std::map<std::string, Lease> leases;  // by zone
     std::map<std::string, Engine> engines;
     std::map<std::string, std::vector<std::string>> assigned;
+    absl::Time next_orders = absl::InfinitePast();
     std::uint64_t zones_of = 0;             // generation of the list that `leases` has the zones of
     std::vector<std::string> assigned_for;  // engines when `assigned` was made
   };
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -242,6 +242,25 @@
     EXPECT_EQ(after.results[it].item, before.results[it].item);
 }
 
+// Replays the kill of all hosts: hosts that know nothing but the store go on where the others were, with what
+// was listed at its place.
+TEST_F(BatchServiceTest, HostsThatAllStartedAnewFinishTheJob) {
+  TestHost& first = AddHost("h1");
+  for (int it = 0; it < 20; ++it) engines.lengths[absl::StrCat("item", it)] = it < 6 ? 60 : 10;
+  ASSERT_EQ(SubmitNow(first, MakeJob(kJob, 20)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Milliseconds(1500));
+  const BatchPage before = ReadNow(first, kJob).second;
+  ASSERT_GT(before.results.size(), 0u);
+  first.Kill();
+  loop.RunFor(absl::Seconds(1));
+  TestHost& second = AddHost("h2");
+  for (int it = 0; it < 8; ++it) ReadNow(second, kJob);
+  const BatchPage after = ReadNow(second, kJob).second;
+  ExpectWhole(after, 20);
+  for (std::size_t it = 0; it < before.results.size(); ++it)
+    EXPECT_EQ(after.results[it].item, before.results[it].item);
+}
+
 // Replays an outage of the store for all hosts: when it returns, a reader must not take the job from its
 // living owner, whose runs have gone on.
 TEST_F(BatchServiceTest, OwnersKeepTheirJobsOverAnOutage) {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <map>
 #include <random>
 #include <regex>
 
@@ -18,7 +19,10 @@
 #include "platform/store_client.h"
 #include "platform/wire.h"
 #include "serving/batch_records.h"
+#include "serving/event_loop.h"
 #include "serving/event_stream.h"
+#include "serving/http_client.h"
+#include "serving/http_server.h"
 #include "tests/serving_fakes.h"
 
 namespace oleander::platform {
@@ -264,6 +268,40 @@
   EXPECT_FALSE(DecodeReport("no json").known);
 }
 
+// Guards against requests that run at another upstream because the address was used again: each kind of call
+// names the upstream that it is meant for.
+TEST(EngineLink, EachCallNamesTheUpstreamThatItIsMeantFor) {
+  serving::EventLoop loop;
+  loop.After(absl::Seconds(10), [&loop] { loop.Stop(); });
+  serving::HttpClient http(loop, {});
+  EngineLink link(http);
+  std::map<std::string, std::string> named;  // by target
+  serving::HttpServer* running = nullptr;
+  serving::HttpServer server(loop, [&](serving::ExchangeId id, serving::HttpRequest request) {
+    named[request.target] = std::string(serving::FindHeader(request.headers, "Expect-Instance"));
+    running->Respond(id, {200, "", {}, ""});
+    if (named.size() == 4) loop.Stop();
+  });
+  running = &server;
+  ASSERT_TRUE(server.Listen("127.0.0.1:21875"));
+  serving::UpstreamEntry upstream;
+  upstream.id = "i-7";
+  upstream.address = "127.0.0.1:21875";
+  serving::UpstreamCall call;
+  call.address = upstream.address;
+  call.expected_id = upstream.id;
+  call.method = "POST";
+  call.target = "/run";
+  call.headers = {{"Expect-Instance", "what a caller claims"}};
+  link.Start(std::move(call), {});
+  link.FetchReport(upstream, [](const serving::EngineReport&) {});
+  link.FetchLoad(upstream, "/health", [](const std::optional<serving::ReportedLoad>&) {});
+  link.SendOrder(upstream, {}, [](serving::OrderOutcome) {});
+  loop.Run();
+  EXPECT_EQ(named.size(), 4u);
+  for (const std::pair<const std::string, std::string>& it : named) EXPECT_EQ(it.second, "i-7") << it.first;
+}
+
 // Guards against crashes on bytes that no writer of this project made.
 TEST(Decode, MutatedBytesNeverCrash) {
   std::mt19937_64 random(20261204);
