--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -172,7 +172,6 @@
                   {"owner", accepting->lease.owner}});
     if (accepting->lease.owner != settings_.incarnation) {
       owners_->Assign(accepting->submission.model, id);
-      WatchAssigned(id, accepting->lease, reply.version);
     } else if (FindJob(id) == nullptr) {
       Own(std::move(accepting->submission), accepting->lease, reply.version);
     }
@@ -194,25 +193,6 @@
   accepting->done(accepting->uncertain ? BatchOutcome::kOutcomeUnknown : BatchOutcome::kNotRun);
 }
 
-// The owner's row outlives its host by a second and a half. An owner that is alive confirms a job given to it
-// at once; one that has not is not waited for until the job's lease runs out. A store that is slow to tell
-// may hide a confirmation, so nothing is concluded from it.
-void BatchService::WatchAssigned(const std::string& id, const BatchLease& lease, std::int64_t lease_version) {
-  loop_.After(settings_.assigned_limit, [this, id, lease, lease_version] {
-    const absl::Time asked = loop_.Now();
-    store_.Get({std::string(kBatchTable), id, std::string(kEndedKey), std::string(kAllKeysEnd), 0},
-               [this, id, lease, lease_version, asked](const StoreReply& reply) {
-                 NoteStoreTime(reply);
-                 if (reply.outcome != StoreOutcome::kOk || loop_.Now() - asked > settings_.quick_store)
-                   return;
-                 for (const Row& it : reply.rows) {
-                   if (it.id.key == kLeaseKey && it.version == lease_version)
-                     TakeOver(id, lease, lease_version);
-                 }
-               });
-  });
-}
-
 void BatchService::Own(BatchSubmission submission, const BatchLease& lease, std::int64_t lease_version) {
   const std::string id = submission.id;
   std::unique_ptr<Job> owned = std::make_unique<Job>(MakeJob(std::move(submission)));
@@ -272,7 +252,7 @@
                  taking_over_.erase(id);
                  return;
                }
-               OnJobRows(id, *lease, version, std::move(rows), true);
+               OnJobRows(id, *lease, version, std::move(rows));
              });
 }
 
@@ -283,15 +263,15 @@
                  taking_over_.erase(id);
                  return;
                }
-               OnJobRows(id, lease, lease_version, std::move(rows), false);
+               OnJobRows(id, lease, lease_version, std::move(rows));
              });
 }
 
 void BatchService::OnJobRows(const std::string& id, const BatchLease& lease, std::int64_t lease_version,
-                             std::vector<Row> rows, bool assigned) {
+                             std::vector<Row> rows) {
   FetchSubmission(id, rows,
-                  [this, id, lease, lease_version, rows, assigned](
-                      StoreOutcome outcome, std::optional<BatchSubmission> submission) {
+                  [this, id, lease, lease_version, rows](StoreOutcome outcome,
+                                                         std::optional<BatchSubmission> submission) {
                     taking_over_.erase(id);
                     if (outcome != StoreOutcome::kOk || !submission || FindJob(id) != nullptr || !accepting_)
                       return;
@@ -313,8 +293,6 @@
                     }
                     Own(std::move(*submission), lease, lease_version);
                     Job& job = *FindJob(id);
-                    // The host that accepted the job looks for a confirmation.
-                    if (assigned) job.last_commit = loop_.Now() - settings_.renew_every;
                     job.lease.listed = static_cast<std::int64_t>(listed.size());
                     for (Item& it : job.items) {
                       if (!listed.contains(it.spec.id)) continue;
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -50,8 +50,6 @@
   absl::Duration keep_whole_after = absl::Milliseconds(100);   // whole texts that wait for their score
   absl::Duration poll_every = absl::Milliseconds(60);          // store reads of a waiting reader
   absl::Duration silence_limit = absl::Milliseconds(2500);     // a run without a byte is broken off
-  absl::Duration assigned_limit = absl::Milliseconds(450);     // for an owner to confirm a job given to it
-  absl::Duration quick_store = absl::Milliseconds(60);         // answers of a store that is not slow
   absl::Duration accept_patience = absl::Milliseconds(1500);   // of a submission while the store refuses
   absl::Duration retention = absl::Minutes(5);        // of an ended or finished job, from its acceptance
   absl::Duration longest_retention = absl::Hours(1);  // of a job that nobody ended
@@ -105,12 +103,11 @@
   void WriteSubmission(const std::shared_ptr<Accepting>& accepting);
   void WriteObjects(const std::shared_ptr<Accepting>& accepting, int piece);
   void OnSubmissionWritten(const std::shared_ptr<Accepting>& accepting, const StoreReply& reply);
-  void WatchAssigned(const std::string& job, const BatchLease& lease, std::int64_t lease_version);
   void Own(BatchSubmission submission, const BatchLease& lease, std::int64_t lease_version);
   void TakeOver(const std::string& job, const BatchLease& expired, std::int64_t lease_version);
   void LoadJob(const std::string& job, const BatchLease& lease, std::int64_t lease_version);
   void OnJobRows(const std::string& job, const BatchLease& lease, std::int64_t lease_version,
-                 std::vector<Row> rows, bool assigned);
+                 std::vector<Row> rows);
   void FetchRange(RowRange range, std::vector<Row> rows,
                   std::function<void(StoreOutcome, std::vector<Row>)> done);
   void FetchSubmission(const std::string& job, std::vector<Row> rows,
