--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -311,8 +311,8 @@
   return choice;
 }
 
-// The engines that this host uses for the job, by the size of the steps that it has in hand for its model: the
-// last items of a step need the choice that the first ones had.
+// The engines that this host uses for the job, by the size of the steps that it has in hand for its model:
+// the last items of a step need the choice that the first ones had.
 const std::vector<UpstreamState*>& BatchService::Share(Job& job, const std::string& service) {
   const absl::Time now = loop_.Now();
   if (job.share_of == directory_.Generation() && now < job.share_until) return job.share;
