Leave owners more room for a confirmation that is on its way

The bound of 2 s without a confirmed write held items back after each outage, until the first write had gone through. It is 2.5 s now (an item reaches its engine within 0.2 s of its start, 3 s are allowed), and an outage counts for 2.5 s after its end.

--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -34,7 +34,7 @@
 constexpr std::int64_t kCheckpointEvents = 10;  // new events that are worth a write
 constexpr std::size_t kMaxTextBytes = 8 << 20;  // of one run's stream: far above any text of a sample
 constexpr absl::Duration kAwayMemory =
-    absl::Milliseconds(300);               // the host looks ten times a second whether the store is away
+    absl::Milliseconds(2500);  // after an outage all owners confirm their jobs at once, which takes a while
 constexpr int kUnframedEndsToBelieve = 2;  // ends without a length that agree
 
 }  // namespace
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -44,7 +44,7 @@
   absl::Duration renew_every = absl::Milliseconds(300);  // also bounds how late an end is noticed
   // Without a confirmed write for so long, a job that the store could confirm starts nothing new: it may have
   // been ended. Callers are promised 3 s from the end of a job to the last start of an item.
-  absl::Duration unconfirmed_limit = absl::Seconds(2);
+  absl::Duration unconfirmed_limit = absl::Milliseconds(2500);
   absl::Duration commit_every = absl::Milliseconds(40);        // results gather for so long
   absl::Duration checkpoint_every = absl::Milliseconds(1000);  // texts of running items
   absl::Duration keep_whole_after = absl::Milliseconds(100);   // whole texts that wait for their score
