--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -145,7 +145,7 @@
 }
 
 // Transactions that keep the texts of items that are not listed yet: all of them, or only those that are
-// worth a write. With `all` the work of the job is stopped first, so that what is written is final.
+// worth a write. Each holds as many as one call to the store takes.
 std::vector<Transaction> BatchService::MakeCheckpoint(Job& job, bool all) {
   std::vector<Transaction> transactions(1);
   const std::string partition = PartialPartition(job);
