--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -397,29 +397,29 @@
 // Replays a fleet with more upstreams than one answer of the store holds: a host that knew only the first
 // part would use a sixth of three thousand engines.
 TEST_F(FeedTest, ATableOfManyPartsIsReadAsAWhole) {
-  constexpr int kUpstreams = 1200;
+  const int upstreams = 1200;
   Put("op", "config", kPolicy);
-  for (int it = 0; it < kUpstreams; ++it) Put("servers", absl::StrFormat("i-%04d", it), kEntry);
+  for (int it = 0; it < upstreams; ++it) Put("servers", absl::StrFormat("i-%04d", it), kEntry);
   feed.Start();
   loop.RunFor(absl::Milliseconds(9));
   EXPECT_FALSE(feed.Complete()) << "a host is not ready before it knows all";
   loop.RunFor(absl::Seconds(1));
   EXPECT_TRUE(feed.Complete());
-  EXPECT_EQ(directory.Usable("s2").size(), static_cast<std::size_t>(kUpstreams));
+  EXPECT_EQ(directory.Usable("s2").size(), static_cast<std::size_t>(upstreams));
 }
 
 // Guards against upstreams of a later part that left unseen and stay listed for good, and against those of
 // the other parts that a read of one part takes off.
 TEST_F(FeedTest, EachPartIsReadAgain) {
-  constexpr int kUpstreams = 1200;
+  const int upstreams = 1200;
   Put("op", "config", kPolicy);
-  for (int it = 0; it < kUpstreams; ++it) Put("servers", absl::StrFormat("i-%04d", it), kEntry);
+  for (int it = 0; it < upstreams; ++it) Put("servers", absl::StrFormat("i-%04d", it), kEntry);
   feed.Start();
   loop.RunFor(absl::Seconds(1));
   // Gone without a word of the feed.
   for (const char* id : {"i-0003", "i-0700", "i-1199"}) store.rows["servers/"].erase(id);
   loop.RunFor(absl::Seconds(40));
-  EXPECT_EQ(directory.Usable("s2").size(), static_cast<std::size_t>(kUpstreams - 3));
+  EXPECT_EQ(directory.Usable("s2").size(), static_cast<std::size_t>(upstreams - 3));
 }
 
 // Guards against a host that loses all upstreams because their registrations lapsed while the store was away.
