Log request limits of upstreams, the calls sent to them, and the start of each run

The logs could not tell the hypotheses about LIMIT apart: no field held the limit that an upstream states, and no line showed where a run starts. No decision uses the limit yet.

--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -214,6 +214,8 @@
   bool framed = true;                   // false: the body has no length and ends when the connection closes
   std::optional<std::int64_t> weights;  // version of the weights that run the request
   std::optional<ReportedLoad> load;     //
+  std::optional<double>
+      request_limit;  // requests/s that the upstream accepts from all hosts; nullopt: no limit
 };
 enum class CallEnd {
   kComplete,  // the answer was received completely
@@ -278,9 +280,10 @@
   // Closes the call's connection. No handler of the call is invoked afterwards.
   virtual void Cancel(CallId id) = 0;
   virtual void FetchReport(const UpstreamEntry& upstream, std::function<void(const EngineReport&)> done) = 0;
-  // Fetches the current load with a GET of the service's health path; nullopt: no answer, or one without it.
+  // Fetches the head of the answer to a GET of the service's health path, which states the current load;
+  // nullopt: no answer, or one of another upstream at this address.
   virtual void FetchLoad(const UpstreamEntry& upstream, const std::string& health_path,
-                         std::function<void(const std::optional<ReportedLoad>&)> done) = 0;
+                         std::function<void(const std::optional<AnswerHead>&)> done) = 0;
   virtual void SendOrder(const UpstreamEntry& upstream, const WeightsOrder& order,
                          std::function<void(OrderOutcome)> done) = 0;
 };
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 61> kEventNames = {{
+constexpr std::array<EventName, 64> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -64,6 +64,8 @@
     {LogEvent::kUpstreamRemoved, "upstream_removed"},
     {LogEvent::kEntryUnreadable, "entry_unreadable"},
     {LogEvent::kAnswerTooLarge, "answer_too_large"},
+    {LogEvent::kUpstreamLimit, "upstream_limit"},
+    {LogEvent::kUpstreamRate, "upstream_rate"},
     {LogEvent::kFeedRestarted, "feed_restarted"},
     {LogEvent::kStoreAnswerUnexpected, "store_answer_unexpected"},
     {LogEvent::kRecordUnreadable, "record_unreadable"},
@@ -79,6 +81,7 @@
     {LogEvent::kItemMoved, "item_moved"},
     {LogEvent::kItemScored, "item_scored"},
     {LogEvent::kScoringAttemptFailed, "scoring_attempt_failed"},
+    {LogEvent::kItemStarted, "item_started"},
     {LogEvent::kBatchRefused, "batch_refused"},
     {LogEvent::kBatchRemoved, "batch_removed"},
     {LogEvent::kWeightsOrdered, "weights_ordered"},
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -388,7 +388,7 @@
   const std::uint64_t run = next_run_++;
   job.waiting.erase(item.rank);
   ++job.running;
-  ++upstream.in_flight;
+  RecordStart(upstream);
   item.phase = Phase::kRunning;
   item.run = run;
   item.upstream = upstream.entry.id;
@@ -401,6 +401,9 @@
   item.head_at = now;
   item.version = 0;
   item.reader = {};
+  LogEventLine(
+      LogLevel::kInfo, LogEvent::kItemStarted,
+      {{"job", id}, {"item", item.spec.id}, {"upstream", item.upstream}, {"after_event", item.last_event}});
 
   UpstreamCall call;
   call.address = upstream.entry.address;
@@ -468,7 +471,7 @@
   item->head_at = now;
   UpstreamState* const upstream = directory_.Find(item->upstream);
   const bool own = head.request_id.empty() || head.request_id == item->spec.id;
-  if (upstream != nullptr && own) ObserveHead(*upstream, head, job.submission.model, now);
+  if (upstream != nullptr && own) ObserveHead(*upstream, head, job.submission.model, item->started, now);
   if (head.status != 200) return;
   if (!own) {
     if (upstream != nullptr) ObserveFailure(*upstream, now);
@@ -691,11 +694,11 @@
   upstream.load_queried_at = now;
   const std::string id = upstream.entry.id;
   link_.FetchLoad(upstream.entry, spec.health_path,
-                  [this, id, done = std::move(done)](const std::optional<ReportedLoad>& load) {
+                  [this, id, now, done = std::move(done)](const std::optional<AnswerHead>& head) {
                     UpstreamState* const found = directory_.Find(id);
                     if (found != nullptr) {
                       found->load_query_pending = false;
-                      if (load) ObserveLoad(*found, *load, loop_.Now());
+                      if (head) ObserveHead(*found, *head, "", now, loop_.Now());
                     }
                     done();
                   });
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "oleander/log_events.h"
 #include "serving/text.h"
 
 namespace oleander::serving {
@@ -98,6 +99,19 @@
   }
 }
 
+void Directory::LogRates() {
+  for (std::pair<const std::string, UpstreamState>& it : upstreams_) {
+    const int sent = std::exchange(it.second.sent_since_log, 0);
+    if (!it.second.request_limit || sent == 0) continue;
+    LogEventLine(LogLevel::kInfo, LogEvent::kUpstreamRate,
+                 {{"upstream", it.first},
+                  {"service", it.second.entry.service},
+                  {"limit", *it.second.request_limit},
+                  {"sent", sent},
+                  {"in_flight", it.second.in_flight}});
+  }
+}
+
 UpstreamState* Directory::Find(const std::string& id) {
   const auto it = upstreams_.find(id);
   return it == upstreams_.end() ? nullptr : &it->second;
@@ -120,12 +134,40 @@
   announced = std::max(announced, version);
 }
 
+void RecordStart(UpstreamState& upstream) {
+  ++upstream.in_flight;
+  ++upstream.sent_since_log;
+}
+
 std::int64_t KnownWeightsVersion(const UpstreamState& upstream, const std::string& model) {
   const auto it = upstream.observed_weights.find(model);
   return it == upstream.observed_weights.end() ? 0 : it->second;
 }
 
-void ObserveHead(UpstreamState& upstream, const AnswerHead& head, const std::string& model, absl::Time now) {
+void ObserveRequestLimit(UpstreamState& upstream, const AnswerHead& head, absl::Time sent_at,
+                         absl::Time now) {
+  const bool success = head.status >= 200 && head.status < 300;
+  const bool lifted = success && !head.request_limit && sent_at > upstream.limit_stated_at;
+  const std::optional<double> before = upstream.request_limit;
+  if (head.request_limit) {
+    upstream.request_limit = head.request_limit;
+    upstream.limit_stated_at = now;
+  } else if (lifted) {
+    upstream.request_limit.reset();
+  }
+  if (upstream.request_limit == before) return;
+  LogEventLine(LogLevel::kInfo, LogEvent::kUpstreamLimit,
+               {{"upstream", upstream.entry.id},
+                {"service", upstream.entry.service},
+                {"limit", upstream.request_limit ? Json(*upstream.request_limit) : Json()},
+                {"before", before ? Json(*before) : Json()},
+                {"status", head.status},
+                {"in_flight", upstream.in_flight}});
+}
+
+void ObserveHead(UpstreamState& upstream, const AnswerHead& head, const std::string& model,
+                 absl::Time sent_at, absl::Time now) {
+  ObserveRequestLimit(upstream, head, sent_at, now);
   if (head.load) ObserveLoad(upstream, *head.load, now);
   // The version in a response is newer than the one in the list of upstreams.
   if (head.weights && !model.empty() && *head.weights > 0) upstream.observed_weights[model] = *head.weights;
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,7 @@
   bool registered = true;  // in the list of upstreams; false: removed, kept while calls are in progress
   absl::Time removal_due = absl::InfiniteFuture();    // when a removal that is not confirmed yet takes effect
   int in_flight = 0;                                  // calls from this host
+  int sent_since_log = 0;                             // calls started since the last line about the rate
   int waiting_here = 0;                               // calls among `in_flight` without a response head yet
   int failures_in_row = 0;                            // consecutive failures
   absl::Time avoid_until = absl::InfinitePast();      // set after failures and refusals
@@ -35,7 +37,9 @@
   double gap_ms = 0;  // moving average of the time between stream events; 0: no sample yet
   absl::Time gap_at = absl::InfinitePast();  // time of the newest sample
   double pace_ms = 0;  // long-term average of the same, which differs between engines; 0: unknown
-  bool pace_measured_here = false;  // `pace_ms` was measured by this host, not received from another one
+  bool pace_measured_here = false;      // `pace_ms` was measured by this host, not received from another one
+  std::optional<double> request_limit;  // requests/s from all hosts, as last stated; nullopt: no limit
+  absl::Time limit_stated_at = absl::InfinitePast();     // time of the newest answer with a limit
   std::map<std::string, std::int64_t> observed_weights;  // version by model, as last seen
   std::map<std::string, absl::Time> unavailable_until;   // by model; no new items until then: full or loading
 };
@@ -55,6 +59,9 @@
   void RemoveUpstream(const std::string& id, absl::Time now, absl::Time due);
   // Applies due removals and deletes removed upstreams without calls. Call it a few times a second.
   void Expire(absl::Time now);
+  // Logs how many calls this host has started at each upstream with a request limit since the last call. The
+  // sum over the lines of all hosts is what the upstream got.
+  void LogRates();
 
   UpstreamState* Find(const std::string& id);
   // Upstreams of a service that accept new work, sorted by id. The pointers are valid until Generation()
@@ -77,12 +84,20 @@
   std::map<std::string, std::vector<UpstreamState*>, std::less<>> usable_;  // by service; computed on demand
 };
 
+// Counts a call that this host starts at the upstream.
+void RecordStart(UpstreamState& upstream);
+
 // Version of the model's weights that the upstream was last seen with; 0: unknown.
 std::int64_t KnownWeightsVersion(const UpstreamState& upstream, const std::string& model);
 
 // ---- Observations -----------------------------------------------------------------------------------------
 
-void ObserveHead(UpstreamState& upstream, const AnswerHead& head, const std::string& model, absl::Time now);
+// `sent_at`: when the answered request was sent.
+void ObserveHead(UpstreamState& upstream, const AnswerHead& head, const std::string& model,
+                 absl::Time sent_at, absl::Time now);
+// Records the request limit that an answer states. A success without a limit lifts it, but only if its
+// request was sent after the limit was last stated: answers on different connections can overtake each other.
+void ObserveRequestLimit(UpstreamState& upstream, const AnswerHead& head, absl::Time sent_at, absl::Time now);
 void ObserveLoad(UpstreamState& upstream, const ReportedLoad& load, absl::Time now);
 void ObserveLatency(UpstreamState& upstream, absl::Duration latency, absl::Time now);
 void ObserveEventGap(UpstreamState& upstream, absl::Duration gap, absl::Time now);
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -114,7 +114,7 @@
   call.timeout = exchange.expires_at - now;
   call.fresh_connection = exchange.route.kind != RouteKind::kIdempotent;
   exchange.tried.push_back(upstream->entry.id);
-  ++upstream->in_flight;
+  RecordStart(*upstream);
 
   const FrontendRequestId id = exchange.id;
   const std::shared_ptr<CallId> self = std::make_shared<CallId>(0);
@@ -125,7 +125,7 @@
     Attempt& attempt = it->second->attempts[*self];
     attempt.head = head;
     UpstreamState* state = directory_.Find(attempt.upstream);
-    if (state != nullptr) ObserveHead(*state, head, "", loop_.Now());
+    if (state != nullptr) ObserveHead(*state, head, "", attempt.started, loop_.Now());
   };
   handlers.on_body = [this, id, self](std::string_view piece) {
     const auto it = exchanges_.find(id);
--- a/src/serving/scoring.cc
+++ b/src/serving/scoring.cc
@@ -127,7 +127,7 @@
   http.deadline = timeout;
   http.timeout = timeout;
   http.max_body_bytes = kMaxAnswerBytes;
-  ++upstream.in_flight;
+  RecordStart(upstream);
   ++call.sent;
   call.last_upstream = upstream.entry.id;
 
@@ -140,7 +140,7 @@
     Attempt& attempt = found->attempts[*self];
     attempt.head = head;
     UpstreamState* const state = directory_.Find(attempt.upstream);
-    if (state != nullptr) ObserveHead(*state, head, "", loop_.Now());
+    if (state != nullptr) ObserveHead(*state, head, "", attempt.started, loop_.Now());
   };
   handlers.on_end = [this, id, self](CallEnd end) { OnAttemptEnd(id, *self, end); };
   *self = link_.Start(std::move(http), std::move(handlers));
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -296,7 +296,7 @@
   call.headers = {{"Expect-Instance", "what a caller claims"}};
   link.Start(std::move(call), {});
   link.FetchReport(upstream, [](const serving::EngineReport&) {});
-  link.FetchLoad(upstream, "/health", [](const std::optional<serving::ReportedLoad>&) {});
+  link.FetchLoad(upstream, "/health", [](const std::optional<serving::AnswerHead>&) {});
   link.SendOrder(upstream, {}, [](serving::OrderOutcome) {});
   loop.Run();
   EXPECT_EQ(named.size(), 4u);
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -408,7 +408,7 @@
 }
 
 void EnginePort::FetchLoad(const UpstreamEntry& upstream, const std::string&,
-                           std::function<void(const std::optional<ReportedLoad>&)> done) {
+                           std::function<void(const std::optional<AnswerHead>&)> done) {
   ++engines_.load_requests;
   loop_.After(kLinkDelay, [this, id = upstream.id, done = std::move(done)] {
     const auto it = engines_.engines.find(id);
@@ -416,7 +416,10 @@
       loop_.After(kReplyTimeout, [done] { done(std::nullopt); });
       return;
     }
-    done(ReportedLoad{it->second.running, 0, it->second.entry.slots, it->second.slowdown});
+    AnswerHead head;
+    head.status = 200;
+    head.load = ReportedLoad{it->second.running, 0, it->second.entry.slots, it->second.slowdown};
+    done(head);
   });
 }
 
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -143,7 +143,7 @@
   void Cancel(CallId id) override;
   void FetchReport(const UpstreamEntry& upstream, std::function<void(const EngineReport&)> done) override;
   void FetchLoad(const UpstreamEntry& upstream, const std::string& health_path,
-                 std::function<void(const std::optional<ReportedLoad>&)> done) override;
+                 std::function<void(const std::optional<AnswerHead>&)> done) override;
   void SendOrder(const UpstreamEntry& upstream, const WeightsOrder& order,
                  std::function<void(OrderOutcome)> done) override;
   // Simulates a crash of the host: closes its connections and drops all callbacks.
@@ -209,7 +209,7 @@
   void Cancel(CallId id) override { sent[id].cancelled = true; }
   void FetchReport(const UpstreamEntry&, std::function<void(const EngineReport&)>) override {}
   void FetchLoad(const UpstreamEntry&, const std::string&,
-                 std::function<void(const std::optional<ReportedLoad>&)>) override {}
+                 std::function<void(const std::optional<AnswerHead>&)>) override {}
   void SendOrder(const UpstreamEntry&, const WeightsOrder&, std::function<void(OrderOutcome)>) override {}
 
   static Script Success() {
