--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -290,6 +290,8 @@
     head.request_id = request;
     head.signature = absl::StrCat("signed:", request);
     head.load = ReportedLoad{engine.running, 0, engine.entry.slots, engine.slowdown};
+    head.request_limit = engine.request_limit;
+    engines_.arrivals.push_back({loop_.Now(), call.engine, request, call.request.resume_after.value_or(0)});
     if (engine.running > engine.entry.slots ||
         (loop_.Now() < engine.loading_until && engine.loading_model == model)) {
       head.status = 503;
@@ -418,6 +420,7 @@
     }
     AnswerHead head;
     head.status = 200;
+    head.request_limit = it->second.request_limit;
     head.load = ReportedLoad{it->second.running, 0, it->second.entry.slots, it->second.slowdown};
     done(head);
   });
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -87,11 +88,12 @@
   absl::Time loading_until = absl::InfinitePast();
   std::string loading_model;
   int running = 0;
-  bool silent = false;          // sends no response heads and no events
-  bool sends_comments = false;  // sends stream comments instead of events
-  bool delays_orders = false;   // orders get no reply and go to FakeEngines::delayed_orders
-  int fail_next = 0;            // number of next requests to answer with 500
-  int break_after_events = 0;   // breaks the next run after this many events; 0: never
+  std::optional<double> request_limit;  // requests/s that its answers state; it does not enforce them
+  bool silent = false;                  // sends no response heads and no events
+  bool sends_comments = false;          // sends stream comments instead of events
+  bool delays_orders = false;           // orders get no reply and go to FakeEngines::delayed_orders
+  int fail_next = 0;                    // number of next requests to answer with 500
+  int break_after_events = 0;           // breaks the next run after this many events; 0: never
 };
 
 struct OrderRecord {
@@ -122,6 +124,7 @@
   std::map<std::string, std::map<int, std::int64_t>> event_versions;
   std::vector<OrderRecord> orders;
   std::vector<RunRecord> runs;
+  std::vector<RunRecord> arrivals;  // all requests that reached an engine, refused ones included
   int load_requests = 0;
   std::function<void()> on_refusal;  // called when a full or loading engine refuses a request; may be empty
   std::vector<std::pair<std::string, WeightsOrder>> delayed_orders;  // by engine id
