Draw the requests to an upstream that limits them from one budget for all hosts

Cause: the limit was not read, and the only bound on the calls to an upstream was the number of its free slots. Each host applied that bound alone, and each retry and each move of a run adds a call that nothing counted. The class of fault: a limit for the fleet, enforced by nobody or by each host for itself. Ruled out: hosts read the limit late (217 comes within 0.1 s at each host that calls the engine). Change: an upstream with a limit gets a call only from a host with a permit. Hosts draw permits as tokens from a bucket in the store, one row per upstream, by conditional writes, so the sum holds whatever the number of hosts. Items, lookups, calls and scoring calls share HasPermit and RecordStart.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -51,6 +51,7 @@
   kAnswerTooLarge = 216,
   kUpstreamLimit = 217,
   kUpstreamRate = 218,
+  kPermitsGranted = 219,
   kFeedRestarted = 402,
   kStoreAnswerUnexpected = 403,
   kRecordUnreadable = 404,
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 64> kEventNames = {{
+constexpr std::array<EventName, 65> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -66,6 +66,7 @@
     {LogEvent::kAnswerTooLarge, "answer_too_large"},
     {LogEvent::kUpstreamLimit, "upstream_limit"},
     {LogEvent::kUpstreamRate, "upstream_rate"},
+    {LogEvent::kPermitsGranted, "permits_granted"},
     {LogEvent::kFeedRestarted, "feed_restarted"},
     {LogEvent::kStoreAnswerUnexpected, "store_answer_unexpected"},
     {LogEvent::kRecordUnreadable, "record_unreadable"},
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -358,7 +358,11 @@
       if (!costs) costs = CostsForItems(engines, choice);
       upstream = PickByCost(*costs, choice);
     }
-    if (upstream == nullptr) return;
+    if (upstream == nullptr) {
+      for (const PermitWant& it : WantsForItems(engines, choice, static_cast<int>(job.waiting.size())))
+        directory_.WantPermits(*it.upstream, it.calls);
+      return;
+    }
     job.group_upstream[item.spec.group] = upstream->entry.id;
     StartRun(job, item, *upstream);
     if (costs) UpdateCost(*costs, *upstream, choice);
@@ -687,7 +691,8 @@
 // is unanswered, or if the service does not report its load.
 bool BatchService::QueryLoad(const ServiceSpec& spec, UpstreamState& upstream, std::function<void()> done) {
   const absl::Time now = loop_.Now();
-  if (spec.health_path.empty() || upstream.load_query_pending ||
+  // An upstream that limits its requests is not asked for its load as well.
+  if (spec.health_path.empty() || upstream.load_query_pending || upstream.request_limit ||
       now - upstream.load_queried_at < kMinLoadQueryInterval)
     return false;
   upstream.load_query_pending = true;
@@ -774,12 +779,13 @@
     UpstreamState* const upstream = directory_.Find(it.upstream);
     progress.gap_ms = upstream == nullptr ? median_pace_ms : ExpectedGap(*upstream, median_pace_ms, now);
     progress.pace_ms = upstream == nullptr || upstream->pace_ms <= 0 ? median_pace_ms : upstream->pace_ms;
-    progress.load_fresh = !loads_reported || (upstream != nullptr && LoadIsFresh(*upstream, now));
+    progress.load_fresh =
+        !loads_reported || (upstream != nullptr && (upstream->request_limit || LoadIsFresh(*upstream, now)));
     progress.unresponsive = upstream == nullptr || IsUnresponsive(*upstream, now);
     progress.queued = upstream != nullptr && upstream->load.waiting > 0;
     progress.other_gap_ms = ExpectedGap(*other, median_pace_ms, now);
     progress.other_pace_ms = other->pace_ms;
-    progress.other_load_fresh = !loads_reported || LoadIsFresh(*other, now);
+    progress.other_load_fresh = !loads_reported || other->request_limit || LoadIsFresh(*other, now);
     const MoveDecision decision = DecideMove(progress);
     if (decision == MoveDecision::kQueryLoads && now >= it.next_load_query) {
       it.next_load_query = now + kRunLoadQueryInterval;
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -80,6 +80,11 @@
   void ItemBody(const std::string& job, const std::string& item, BodyDone done);
   void End(const std::string& job, Done done);
   void Tick();
+  // Call it after upstreams have granted permits (request_limits.h).
+  void OnPermitsGranted() {
+    Dispatch();
+    scoring_.Dispatch();
+  }
   // Reports that the store does not answer this host; call it repeatedly as long as that is so. Expired
   // leases are not taken over until the store has answered for `min_store_uptime`, so that live owners can
   // renew them first.
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -139,7 +139,7 @@
   UpstreamState* best = nullptr;
   double best_cost = 0;
   for (UpstreamState* it : usable) {
-    if (Contains(choice.tried, it->entry.id)) continue;
+    if (Contains(choice.tried, it->entry.id) || !HasPermit(*it, choice.now)) continue;
     double cost = ExpectedLatency(*it, mean_latency_ms, choice.now);
     if (it->entry.zone != choice.zone)
       cost += choice.zone_isolated ? kIsolatedZonePenaltyMs : kOtherZonePenaltyMs;
@@ -158,7 +158,8 @@
   UpstreamState* best = nullptr;
   double best_cost = 0;
   for (UpstreamState* it : usable) {
-    if (it->entry.id == choice.excluded || choice.now < it->avoid_until) continue;
+    if (it->entry.id == choice.excluded || choice.now < it->avoid_until || !HasPermit(*it, choice.now))
+      continue;
     const int slots = std::max(1, it->entry.slots);
     const int kept = static_cast<int>(slots * kLookupShare);
     if (EstimateRunning(*it, choice.now) >= std::max(1, slots - kept)) continue;
@@ -209,16 +210,21 @@
 
 namespace {
 
-double CostForItem(const UpstreamState& upstream, const ItemChoice& choice, double median_gap_ms) {
-  const double impossible = std::numeric_limits<double>::infinity();
+// True if the upstream could run the item now, but for its request limit.
+bool IsSuitable(const UpstreamState& upstream, const ItemChoice& choice) {
   const std::int64_t held = KnownWeightsVersion(upstream, choice.model);
-  if (held < choice.min_version || choice.now < upstream.avoid_until) return impossible;
-  if (choice.exact_version != 0 && held != choice.exact_version) return impossible;
+  if (held < choice.min_version || choice.now < upstream.avoid_until) return false;
+  if (choice.exact_version != 0 && held != choice.exact_version) return false;
   const auto unavailable = upstream.unavailable_until.find(choice.model);
-  if (unavailable != upstream.unavailable_until.end() && choice.now < unavailable->second) return impossible;
+  if (unavailable != upstream.unavailable_until.end() && choice.now < unavailable->second) return false;
+  return EstimateRunning(upstream, choice.now) < std::max(1, upstream.entry.slots);
+}
+
+double CostForItem(const UpstreamState& upstream, const ItemChoice& choice, double median_gap_ms) {
+  if (!IsSuitable(upstream, choice) || !HasPermit(upstream, choice.now))
+    return std::numeric_limits<double>::infinity();
   const int slots = std::max(1, upstream.entry.slots);
   const int running = EstimateRunning(upstream, choice.now);
-  if (running >= slots) return impossible;
   const double cost =
       ExpectedGap(upstream, median_gap_ms, choice.now) / median_gap_ms * (1 + kLoadCost * running / slots);
   return cost + (upstream.entry.zone == choice.zone ? 0 : kOtherZoneCost);
@@ -265,6 +271,31 @@
   return PickByCost(CostsForItems(usable, choice), choice);
 }
 
+std::vector<PermitWant> WantsForItems(const std::vector<UpstreamState*>& usable, const ItemChoice& choice,
+                                      int items) {
+  std::vector<PermitWant> wants;
+  for (UpstreamState* it : usable) {
+    if (HasPermit(*it, choice.now) || !IsSuitable(*it, choice)) continue;
+    const int free = std::max(1, it->entry.slots) - EstimateRunning(*it, choice.now);
+    wants.push_back({it, std::min(items, free)});
+  }
+  return wants;
+}
+
+UpstreamState* PickWithoutPermit(const std::vector<UpstreamState*>& usable,
+                                 const std::vector<std::string>& tried, absl::Time now) {
+  UpstreamState* best = nullptr;
+  double best_load = 0;
+  for (UpstreamState* it : usable) {
+    if (HasPermit(*it, now) || Contains(tried, it->entry.id) || now < it->avoid_until) continue;
+    const double load = EstimateRunning(*it, now) / std::max(0.1, *it->request_limit);
+    if (best != nullptr && load >= best_load) continue;
+    best = it;
+    best_load = load;
+  }
+  return best;
+}
+
 std::vector<UpstreamState*> EngineShare(const std::vector<UpstreamState*>& usable, const std::string& model,
                                         std::int64_t min_version, int items) {
   const int wanted = items * kSlotsPerItem;
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -53,6 +53,11 @@
 // A hash that is the same on all hosts.
 std::uint64_t HashText(std::string_view text);
 
+// Returns the upstream with a request limit at which a call should wait for a permit, or nullptr: the one
+// with the fewest requests for its limit.
+UpstreamState* PickWithoutPermit(const std::vector<UpstreamState*>& usable,
+                                 const std::vector<std::string>& tried, absl::Time now);
+
 // ---- Scoring calls ----------------------------------------------------------------------------------------
 
 struct ScoringChoice {
@@ -103,6 +108,17 @@
 // submitted at once, several times as many as there are slots.
 UpstreamState* PickForItem(const std::vector<UpstreamState*>& usable, const ItemChoice& choice);
 
+// Permits that a host requests for the items that wait after a placement: for each suitable engine with a
+// request limit, as many as fit its free slots. Load pattern: a step needs more requests than the limits of
+// all engines allow in its time, so each permit that there is finds an item; a permit that is not used
+// lapses.
+struct PermitWant {
+  UpstreamState* upstream;
+  int calls;
+};
+std::vector<PermitWant> WantsForItems(const std::vector<UpstreamState*>& usable, const ItemChoice& choice,
+                                      int items);
+
 // The same for many items of one job: the placement cost is computed once for each upstream, and recomputed
 // only for an upstream that got or lost an item. `choice.exact_version` must be the same in all calls.
 struct PlacementCosts {
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -134,9 +134,20 @@
   announced = std::max(announced, version);
 }
 
+bool Directory::WantPermits(UpstreamState& upstream, int calls) {
+  if (!upstream.request_limit || calls <= 0 || !on_permits_wanted) return false;
+  upstream.permits_wanted = calls;
+  return on_permits_wanted(upstream);
+}
+
+bool HasPermit(const UpstreamState& upstream, absl::Time now) {
+  return !upstream.request_limit || (upstream.permits > 0 && now < upstream.permits_until);
+}
+
 void RecordStart(UpstreamState& upstream) {
   ++upstream.in_flight;
   ++upstream.sent_since_log;
+  if (upstream.request_limit) upstream.permits = std::max(0, upstream.permits - 1);
 }
 
 std::int64_t KnownWeightsVersion(const UpstreamState& upstream, const std::string& model) {
@@ -150,6 +161,7 @@
   const bool lifted = success && !head.request_limit && sent_at > upstream.limit_stated_at;
   const std::optional<double> before = upstream.request_limit;
   if (head.request_limit) {
+    if (!before) upstream.permits = 0;
     upstream.request_limit = head.request_limit;
     upstream.limit_stated_at = now;
   } else if (lifted) {
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -40,6 +40,9 @@
   bool pace_measured_here = false;      // `pace_ms` was measured by this host, not received from another one
   std::optional<double> request_limit;  // requests/s from all hosts, as last stated; nullopt: no limit
   absl::Time limit_stated_at = absl::InfinitePast();     // time of the newest answer with a limit
+  int permits = 0;                                       // calls that this host may start despite the limit
+  absl::Time permits_until = absl::InfinitePast();       // the permits are invalid from then on
+  int permits_wanted = 0;                                // calls that wait for a permit, as last requested
   std::map<std::string, std::int64_t> observed_weights;  // version by model, as last seen
   std::map<std::string, absl::Time> unavailable_until;   // by model; no new items until then: full or loading
 };
@@ -59,6 +62,11 @@
   void RemoveUpstream(const std::string& id, absl::Time now, absl::Time due);
   // Applies due removals and deletes removed upstreams without calls. Call it a few times a second.
   void Expire(absl::Time now);
+  // Requests permits for `calls` calls that this host would start at an upstream with a request limit.
+  // Permits are granted later, if at all. Returns false if it is known that none will be granted soon.
+  bool WantPermits(UpstreamState& upstream, int calls);
+  // Called by WantPermits, with the same result; empty: no permit is ever granted.
+  std::function<bool(UpstreamState&)> on_permits_wanted;
   // Logs how many calls this host has started at each upstream with a request limit since the last call. The
   // sum over the lines of all hosts is what the upstream got.
   void LogRates();
@@ -84,7 +92,11 @@
   std::map<std::string, std::vector<UpstreamState*>, std::less<>> usable_;  // by service; computed on demand
 };
 
-// Counts a call that this host starts at the upstream.
+// False if the upstream limits its requests and this host has no valid permit for another one.
+bool HasPermit(const UpstreamState& upstream, absl::Time now);
+// Records a call that this host starts at the upstream, and uses up a permit if the upstream limits its
+// requests. Everything that sends requests of callers or items to an upstream checks HasPermit and calls
+// this.
 void RecordStart(UpstreamState& upstream);
 
 // Version of the model's weights that the upstream was last seen with; 0: unknown.
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -9,9 +9,16 @@
 #include "oleander/log_events.h"
 #include "oleander/metrics.h"
 #include "serving/decisions.h"
+#include "serving/request_limits.h"
 
 namespace oleander::serving {
-namespace {}  // namespace
+namespace {
+
+// Longest wait for a permit of an upstream that limits its requests; drawing one takes two calls to the
+// store.
+constexpr absl::Duration kPermitWait = absl::Milliseconds(60);
+
+}  // namespace
 
 struct Frontend::Attempt {
   std::string upstream;  // id
@@ -34,6 +41,8 @@
   std::optional<HttpResponse> last_failure;  // from an upstream that ran the request
   TimerId timeout_timer = 0;
   TimerId hedge_timer = 0;
+  bool permit_requested = false;  // once for each exchange
+  TimerId permit_timer = 0;       // set while the exchange waits for a permit
 };
 
 HttpResponse MakeErrorResponse(ErrorKind kind, std::optional<double> retry_after_seconds) {
@@ -102,6 +111,10 @@
     if (exchange.attempts.empty()) RetryOrFail(exchange, ErrorKind::kNoUpstream);
     return;
   }
+  // Upstreams without a limit are full, so later requests need those with one.
+  if (EstimateRunning(*upstream, now) >= std::max(1, upstream->entry.slots)) {
+    WantPermitOfAny(directory_, exchange.service, exchange.tried, 1, now);
+  }
   UpstreamCall call;
   call.address = upstream->entry.address;
   call.expected_id = upstream->entry.id;
@@ -189,12 +202,15 @@
   const int counted = exchange.may_have_run + static_cast<int>(exchange.attempts.size());
   const bool upstream_left =
       PickUnary(directory_.Usable(exchange.service), MakeUnaryChoice(exchange)) != nullptr;
-  if (repeatable && counted < std::max(1, exchange.route.max_attempts) && upstream_left &&
-      loop_.Now() < exchange.expires_at) {
+  const bool may_retry =
+      repeatable && counted < std::max(1, exchange.route.max_attempts) && loop_.Now() < exchange.expires_at;
+  if (may_retry && upstream_left) {
     StartAttempt(exchange);
     return;
   }
   if (!exchange.attempts.empty()) return;
+  if (may_retry && AwaitPermit(exchange)) return;
+  if (exchange.permit_requested) reason = ErrorKind::kUpstreamRefused;
   if (exchange.last_failure) {
     Close(exchange, std::move(*exchange.last_failure));
     return;
@@ -206,6 +222,42 @@
   }
 }
 
+// Lets the exchange wait for a permit if all upstreams that are left limit their requests. Returns false if
+// there is no such upstream, or the exchange has waited before.
+bool Frontend::AwaitPermit(Exchange& exchange) {
+  if (exchange.permit_requested) return false;
+  const absl::Time now = loop_.Now();
+  if (PickWithoutPermit(directory_.Usable(exchange.service), exchange.tried, now) == nullptr) return false;
+  exchange.permit_requested = true;
+  const int waiting = static_cast<int>(waiting_for_permit_.size()) + 1;
+  if (!WantPermitOfAny(directory_, exchange.service, exchange.tried, waiting, now)) return false;
+  waiting_for_permit_.insert(exchange.id);
+  exchange.permit_timer = loop_.After(kPermitWait, [this, id = exchange.id] {
+    const auto it = exchanges_.find(id);
+    if (it == exchanges_.end()) return;
+    StopWaiting(*it->second);
+    RetryOrFail(*it->second, ErrorKind::kUpstreamRefused);
+  });
+  return true;
+}
+
+void Frontend::StopWaiting(Exchange& exchange) {
+  loop_.Cancel(std::exchange(exchange.permit_timer, 0));
+  waiting_for_permit_.erase(exchange.id);
+}
+
+void Frontend::OnPermitsGranted() {
+  const std::set<FrontendRequestId> waiting = waiting_for_permit_;
+  for (const FrontendRequestId id : waiting) {
+    const auto it = exchanges_.find(id);
+    if (it == exchanges_.end()) continue;
+    Exchange& exchange = *it->second;
+    if (PickUnary(directory_.Usable(exchange.service), MakeUnaryChoice(exchange)) == nullptr) continue;
+    StopWaiting(exchange);
+    StartAttempt(exchange);
+  }
+}
+
 void Frontend::OnHedge(FrontendRequestId id) {
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
@@ -264,6 +316,7 @@
 void Frontend::Close(Exchange& exchange, HttpResponse response) {
   loop_.Cancel(exchange.timeout_timer);
   loop_.Cancel(exchange.hedge_timer);
+  StopWaiting(exchange);
   for (const std::pair<const CallId, Attempt>& it : exchange.attempts) {
     link_.Cancel(it.first);
     UpstreamState* upstream = directory_.Find(it.second.upstream);
--- a/src/serving/frontend.h
+++ b/src/serving/frontend.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "absl/time/time.h"
@@ -35,6 +36,8 @@
   FrontendRequestId Handle(CallerRequest request, const Route& route, Responder respond);
   // Cancels the upstream calls of a request whose caller has disconnected.
   void CancelRequest(FrontendRequestId id);
+  // Call it after upstreams have granted permits (request_limits.h).
+  void OnPermitsGranted();
   // Set to true while this host cannot reach the store: upstreams of its own zone are then preferred.
   void SetZoneIsolated(bool isolated) { zone_isolated_ = isolated; }
   int OpenRequests() const { return static_cast<int>(exchanges_.size()); }
@@ -47,6 +50,8 @@
   void OnAttemptEnd(FrontendRequestId id, CallId call, CallEnd end);
   void OnTimeout(FrontendRequestId id);
   void OnHedge(FrontendRequestId id);
+  bool AwaitPermit(Exchange& exchange);
+  void StopWaiting(Exchange& exchange);
   void RetryOrFail(Exchange& exchange, ErrorKind reason);
   void DeliverResponse(Exchange& exchange, Attempt& attempt);
   void Refuse(Exchange& exchange, ErrorKind kind);
@@ -59,6 +64,7 @@
   bool zone_isolated_ = false;
   FrontendRequestId next_id_ = 1;
   std::map<FrontendRequestId, std::unique_ptr<Exchange>> exchanges_;
+  std::set<FrontendRequestId> waiting_for_permit_;  // oldest first
 };
 
 }  // namespace oleander::serving
--- a/src/serving/scoring.cc
+++ b/src/serving/scoring.cc
@@ -6,6 +6,7 @@
 
 #include "oleander/log_events.h"
 #include "oleander/metrics.h"
+#include "serving/request_limits.h"
 
 namespace oleander::serving {
 namespace {
@@ -94,7 +95,10 @@
     const Route* route = directory_.FindRoute(call->request.host, call->request.target);
     if (route == nullptr) continue;
     UpstreamState* const upstream = Pick(*call, *route, "");
-    if (upstream == nullptr) continue;
+    if (upstream == nullptr) {
+      WantPermit(*call, *route);
+      continue;
+    }
     hedge_budget_ = std::min(kMaxSavedHedges, hedge_budget_ + kHedgesPerCall);
     ++in_progress_;
     Send(*call, *route, *upstream);
@@ -113,6 +117,12 @@
   return PickForScoring(directory_.Usable(ChooseService(route, call.request.id)), choice);
 }
 
+// Requests a permit of an upstream that limits its requests, so that a later Dispatch can send the call.
+void ScoringCalls::WantPermit(const Call& call, const Route& route) {
+  const int waiting = std::min(Open() - in_progress_, static_cast<int>(limit_.max_calls));
+  WantPermitOfAny(directory_, ChooseService(route, call.request.id), {}, std::max(1, waiting), loop_.Now());
+}
+
 void ScoringCalls::Send(Call& call, const Route& route, UpstreamState& upstream) {
   const absl::Time now = loop_.Now();
   const absl::Duration timeout = std::min(kAttemptTimeout, route.timeout);
--- a/src/serving/scoring.h
+++ b/src/serving/scoring.h
@@ -57,6 +57,7 @@
 
   Call* Find(ScoringId id);
   UpstreamState* Pick(const Call& call, const Route& route, const std::string& excluded);
+  void WantPermit(const Call& call, const Route& route);
   void Send(Call& call, const Route& route, UpstreamState& upstream);
   void WatchForHedge(ScoringId id, absl::Duration delay);
   void OnAttemptEnd(ScoringId id, CallId attempt, CallEnd end);
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -106,7 +106,7 @@
     });
     return;
   }
-  store_.loop.After(delay, [this, make = std::move(make), done = std::move(done)] {
+  store_.loop.After(delay + extra_delay, [this, make = std::move(make), done = std::move(done)] {
     const StoreReply reply = make();
     if (!dead) done(reply);
   });
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -71,6 +71,7 @@
 
   std::function<StoreFault(const Transaction&)> commit_fault;  // empty: none
   bool disconnected = false;                                   // calls do not arrive and get no reply
+  absl::Duration extra_delay;                                  // of each reply
   bool history_gone = false;                                   // Watch replies kHistoryTrimmed
   bool dead = false;                                           // the host has crashed: replies are dropped
 
