--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -190,6 +190,7 @@
   int slots = 1;                                // requests that it runs concurrently
   bool draining = false;                        //
   std::int64_t started_ms = 0;                  // time at which the process started
+  std::string software;                         // version of its software, not of its weights; any text
   std::map<std::string, std::int64_t> weights;  // version by model
 };
 
--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -28,6 +28,8 @@
   std::int64_t events = 0;
   std::int64_t last_event = 0;
   std::set<std::int64_t> versions;
+  std::optional<std::string>
+      software;  // version of the engine software that began the text; nullopt: no text, or unknown
   std::int64_t checkpointed_events = 0;
   bool checkpointed_complete = false;
   bool has_partial_row = false;
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -405,9 +405,13 @@
   item.head_at = now;
   item.version = 0;
   item.reader = {};
-  LogEventLine(
-      LogLevel::kInfo, LogEvent::kItemStarted,
-      {{"job", id}, {"item", item.spec.id}, {"upstream", item.upstream}, {"after_event", item.last_event}});
+  LogEventLine(LogLevel::kInfo, LogEvent::kItemStarted,
+               {{"job", id},
+                {"item", item.spec.id},
+                {"upstream", item.upstream},
+                {"software", upstream.entry.software},
+                {"after_event", item.last_event},
+                {"text_software", item.software ? Json(*item.software) : Json()}});
 
   UpstreamCall call;
   call.address = upstream.entry.address;
@@ -461,6 +465,7 @@
   item.events = 0;
   item.last_event = 0;
   item.versions.clear();
+  item.software.reset();
   item.checkpointed_events = 0;
   item.checkpointed_complete = false;
 }
@@ -528,6 +533,7 @@
       Dispatch();
       return;
     }
+    if (item->events == 0 && upstream != nullptr) item->software = upstream->entry.software;
     if (item->events > 0) item->output.push_back('\n');
     item->output += event->data;
     ++item->events;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -75,7 +75,7 @@
   EXPECT_EQ(DecodeUpstream("i-1", kEntry)->started_ms, 1700000000000);
   EXPECT_FALSE(DecodeUpstream("", kEntry));
   const Json good = Json::parse(kEntry);
-  for (const char* key : {"service", "address", "zone", "slots", "state"}) {
+  for (const char* key : {"service", "address", "zone", "version", "slots", "state"}) {
     Json missing = good;
     missing.erase(key);
     EXPECT_FALSE(DecodeUpstream("i-1", missing.dump())) << key;
