--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -302,6 +302,10 @@
       return;
     }
     engines_.runs.push_back({loop_.Now(), call.engine, request, call.request.resume_after.value_or(0)});
+    const std::int64_t resumed_after = call.request.resume_after.value_or(0);
+    if (resumed_after > 0 &&
+        engines_.event_software[request][static_cast<int>(resumed_after)] != engine.entry.software)
+      ++engines_.mixed_resumes;
     const bool fails = engines_.failing.contains(request);
     if (engines_.unprocessable.contains(request) || fails || engine.fail_next > 0) {
       head.status = engines_.unprocessable.contains(request) ? 422 : 500;
@@ -362,6 +366,8 @@
     if (version != call.version) absl::StrAppend(&text, "weight-versions: ", version, "\n");
     call.version = version;
     engines_.event_versions[call.request.request_id][static_cast<int>(call.next_event)] = version;
+    engines_.event_software[call.request.request_id][static_cast<int>(call.next_event)] =
+        engine.entry.software;
     absl::StrAppend(&text, "id: ", call.next_event, "\ndata: ", call.request.request_id, ":", call.next_event,
                     "\n\n");
     ++call.next_event;
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -123,6 +123,10 @@
   std::set<std::string> failing;            // requests answered with 500
   // Weights version that generated each event, by request id and event number.
   std::map<std::string, std::map<int, std::int64_t>> event_versions;
+  // Software version of the engine that generated each event, by request id and event number.
+  std::map<std::string, std::map<int, std::string>> event_software;
+  int mixed_resumes =
+      0;  // runs that continued a text at another software version than that of its last event
   std::vector<OrderRecord> orders;
   std::vector<RunRecord> runs;
   std::vector<RunRecord> arrivals;  // all requests that reached an engine, refused ones included
--- /dev/null
+++ b/tests/software_versions_test.cc
@@ -0,0 +1,94 @@
+// Engines of several software versions in one service: a text is never continued at another version.
+#include <gtest/gtest.h>
+
+#include <initializer_list>
+
+#include "tests/batch_service_fixture.h"
+
+namespace oleander::serving {
+namespace {
+
+struct SoftwareVersionsTest : BatchServiceTest {
+  // Engines e1 to e3 have software v1; adds as many with v2.
+  SoftwareVersionsTest() {
+    for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.entry.software = "v1";
+    for (const char* id : {"f1", "f2", "f3"}) {
+      FakeEngine& engine = engines.Add(id, "engines", "a", 4);
+      engine.weights["words"] = 5;
+      engine.entry.software = "v2";
+    }
+  }
+  BatchSubmission MakeLongJob(int items, int events) {
+    BatchSubmission job = MakeJob(kJob, items);
+    for (const BatchItem& it : job.items) engines.event_counts[it.id] = events;
+    return job;
+  }
+  void SlowDown(std::initializer_list<const char*> ids) {
+    for (const char* id : ids) engines.engines.at(id).slowdown = 4;
+  }
+  void ExpectWholeResults(TestHost& host, const BatchSubmission& job) {
+    const auto [outcome, page] = ReadNow(host, kJob);
+    EXPECT_EQ(outcome, BatchOutcome::kOk);
+    ExpectCompleteResults(page, static_cast<int>(job.items.size()));
+  }
+};
+
+// Failure: a broken stream was resumed at the best engine, whatever its software.
+TEST_F(SoftwareVersionsTest, ABrokenTextGoesOnAtItsOwnVersion) {
+  TestHost& host = AddHost("h1");
+  const BatchSubmission job = MakeLongJob(20, 30);
+  SubmitNow(host, job);
+  for (int round = 0; round < 6; ++round) {
+    SlowDown({"e1", "e2"});
+    for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.break_after_events = 7;
+    loop.RunFor(absl::Milliseconds(500));
+  }
+  loop.RunFor(absl::Seconds(12));
+  EXPECT_EQ(engines.mixed_resumes, 0);
+  ExpectWholeResults(host, job);
+}
+
+// Failure: a slow run was moved to the fastest engine, whatever its software.
+TEST_F(SoftwareVersionsTest, ASlowTextMovesWithinItsOwnVersion) {
+  TestHost& host = AddHost("h1");
+  const BatchSubmission job = MakeLongJob(10, 60);
+  SubmitNow(host, job);
+  loop.RunFor(absl::Milliseconds(600));
+  SlowDown({"e1", "e2", "f1"});
+  loop.RunFor(absl::Seconds(25));
+  EXPECT_EQ(engines.mixed_resumes, 0);
+  ExpectWholeResults(host, job);
+}
+
+// Failure: the host that took a job over did not know which version had begun a stored text.
+TEST_F(SoftwareVersionsTest, ATextTakenOverGoesOnAtItsOwnVersion) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  const BatchSubmission job = MakeLongJob(20, 80);
+  SubmitNow(first, job);
+  loop.RunFor(absl::Milliseconds(2200));
+  first.Kill();
+  SlowDown({"e1", "e2", "e3"});
+  for (int it = 0; it < 4; ++it) ReadNow(second, kJob);
+  loop.RunFor(absl::Seconds(25));
+  EXPECT_EQ(engines.mixed_resumes, 0);
+  ExpectWholeResults(second, job);
+}
+
+// Failure: items whose version has left the service would wait for ever.
+TEST_F(SoftwareVersionsTest, ATextWhoseVersionHasLeftIsGeneratedAnew) {
+  TestHost& host = AddHost("h1");
+  const BatchSubmission job = MakeLongJob(12, 40);
+  SubmitNow(host, job);
+  loop.RunFor(absl::Milliseconds(800));
+  for (const char* id : {"e1", "e2", "e3"}) {
+    engines.engines.at(id).silent = true;
+    host.directory.RemoveUpstream(id, loop.Now(), loop.Now());
+  }
+  loop.RunFor(absl::Seconds(12));
+  EXPECT_EQ(engines.mixed_resumes, 0);
+  ExpectWholeResults(host, job);
+}
+
+}  // namespace
+}  // namespace oleander::serving
