Continue a text only at the software version that began it

Cause: the software version of a registration was not read. Placement, moves of slow runs and takeovers treated all engines of a service as equal; stored texts did not say where they came from. The class of fault: an upstream chosen by its service where the work is bound to a property of the upstream that began it (weights have the same kind of bond, and had a check). Ruled out: takeovers alone (mixing starts in the first seconds, mostly after moves). Change: the owner keeps the version that began a text, also in the stored text; every choice for a text with events is limited to engines of that version. If none is free the item waits as long as generating the text again takes, then starts anew; at once if none is left. The same bound now holds for texts of single-version routes, which waited without one.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -70,6 +70,8 @@
   kItemScored = 532,
   kScoringAttemptFailed = 533,
   kItemStarted = 534,
+  kTextDiscarded = 535,
+  kItemResumed = 536,
   kWeightsOrdered = 604,
   kRequestAnswered = 900,
   kRequestRefused = 901,
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 65> kEventNames = {{
+constexpr std::array<EventName, 67> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -83,6 +83,8 @@
     {LogEvent::kItemScored, "item_scored"},
     {LogEvent::kScoringAttemptFailed, "scoring_attempt_failed"},
     {LogEvent::kItemStarted, "item_started"},
+    {LogEvent::kItemResumed, "item_resumed"},
+    {LogEvent::kTextDiscarded, "text_discarded"},
     {LogEvent::kBatchRefused, "batch_refused"},
     {LogEvent::kBatchRemoved, "batch_removed"},
     {LogEvent::kWeightsOrdered, "weights_ordered"},
--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -40,8 +40,10 @@
   std::uint64_t run = 0;
   CallId call = 0;
   std::string upstream;
+  std::string run_software;  // software version of `upstream` when the run was started
   absl::Time first_started = absl::InfiniteFuture();  // start of the first run at this host
   int runs = 0;                                       // at this host
+  absl::Time stopped_at = absl::InfinitePast();       // end of the last run; or when its stored text was read
   absl::Time started;
   absl::Time last_progress;
   int events_in_run = 0;
--- a/src/serving/batch_records.cc
+++ b/src/serving/batch_records.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t kScoreField = 4;            // of a result
 constexpr std::size_t kCompleteField = 5;         // of a text
 constexpr std::size_t kScoringFailuresField = 6;  // of a text
+constexpr std::size_t kSoftwareField = 7;         // of a text
 
 std::string Pack(const Json& value) {
   std::string bytes;
@@ -134,7 +135,8 @@
 
 std::string EncodePartial(const PartialText& partial) {
   return Pack(Json::array({partial.item, Binary(partial.output), partial.events, partial.last_event,
-                           partial.versions, partial.complete, partial.scoring_failures}));
+                           partial.versions, partial.complete, partial.scoring_failures,
+                           partial.software ? Json(Binary(*partial.software)) : Json()}));
 }
 
 std::optional<PartialText> DecodePartial(std::string_view bytes) {
@@ -149,6 +151,8 @@
       partial.complete = value[kCompleteField].get<bool>();
       partial.scoring_failures = value[kScoringFailuresField].get<int>();
     }
+    if (value.size() > kSoftwareField && !value[kSoftwareField].is_null())
+      partial.software = Text(value[kSoftwareField]);
     return partial;
   });
 }
--- a/src/serving/batch_records.h
+++ b/src/serving/batch_records.h
@@ -49,6 +49,9 @@
   std::vector<std::int64_t> versions;  //
   bool complete = false;               // the text is complete and waits for its score
   int scoring_failures = 0;            // answers to the scoring call that report a failure
+  // Software version of the engine that began the text; nullopt: not recorded, as by hosts that did not know
+  // of it.
+  std::optional<std::string> software;
 };
 std::string EncodePartial(const PartialText& partial);
 std::optional<PartialText> DecodePartial(std::string_view bytes);
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -113,6 +113,10 @@
           }
           const std::optional<PartialText> partial = DecodePartial(*bytes);
           if (!partial || partial->versions.empty()) continue;
+          if (!partial->software) {
+            job.partials_to_remove.push_back(key);  // nobody knows where the text may be continued
+            continue;
+          }
           const std::int64_t oldest = *std::min_element(partial->versions.begin(), partial->versions.end());
           if (oldest < job.submission.min_version) {
             job.partials_to_remove.push_back(key);  // no later step accepts weights this old
@@ -126,6 +130,8 @@
           item.events = partial->events;
           item.last_event = partial->last_event;
           item.versions.insert(partial->versions.begin(), partial->versions.end());
+          item.software = partial->software;
+          item.stopped_at = loop_.Now();
           item.checkpointed_events = item.events;
           item.checkpointed_complete = partial->complete;
           item.has_partial_row = true;
@@ -187,6 +193,7 @@
     partial.versions.assign(it.versions.begin(), it.versions.end());
     partial.complete = complete;
     partial.scoring_failures = scoring_.Failures(it.scoring);
+    partial.software = it.software;
     std::vector<RowWrite> rows =
         SplitIntoRows(kPartialTable, partition, it.spec.id, EncodePartial(partial), settings_.max_row_bytes);
     Transaction& transaction = room(rows.size(), it.output.size());
@@ -311,6 +318,7 @@
   choice.model = job.submission.model;
   choice.min_version = job.submission.min_version;
   if (route.single_version && !item.versions.empty()) choice.exact_version = *item.versions.begin();
+  if (item.events > 0) choice.software = item.software;
   choice.zone = settings_.zone;
   choice.now = loop_.Now();
   return choice;
@@ -345,22 +353,18 @@
   for (const std::size_t rank : ranks) {
     Item& item = job.items[job.order[rank]];
     if (now < item.not_before) continue;
-    ItemChoice choice = MakeChoice(job, item, *route);
-    choice.avoided = item.avoided;
-    const auto group = job.group_upstream.find(item.spec.group);
-    if (group != job.group_upstream.end()) choice.preferred = group->second;
-    UpstreamState* upstream = nullptr;
-    if (choice.exact_version != 0) {
-      bool wait = false;
-      upstream = PickExact(item, engines, choice, wait);
-      if (wait) continue;
-    } else {
+    ItemChoice choice = MakePlacement(job, item, *route);
+    if (!costs && choice.exact_version == 0) costs = CostsForItems(engines, choice);
+    UpstreamState* upstream =
+        choice.exact_version != 0 ? PickForItem(engines, choice) : PickByCost(*costs, choice);
+    if (upstream == nullptr && (choice.software || choice.exact_version != 0)) {
+      if (!DiscardUnlessWaiting(job, item, engines, choice)) continue;
+      choice = MakePlacement(job, item, *route);
       if (!costs) costs = CostsForItems(engines, choice);
       upstream = PickByCost(*costs, choice);
     }
     if (upstream == nullptr) {
-      for (const PermitWant& it : WantsForItems(engines, choice, static_cast<int>(job.waiting.size())))
-        directory_.WantPermits(*it.upstream, it.calls);
+      WantPermits(engines, choice, static_cast<int>(job.waiting.size()));
       return;
     }
     job.group_upstream[item.spec.group] = upstream->entry.id;
@@ -369,20 +373,47 @@
   }
 }
 
-// Picks an upstream for an item whose text must be continued with the same weight version. Sets `wait` if
-// engines have that version but none of them can take the item now.
-UpstreamState* BatchService::PickExact(Item& item, const std::vector<UpstreamState*>& engines,
-                                       ItemChoice choice, bool& wait) {
-  UpstreamState* const upstream = PickForItem(engines, choice);
-  if (upstream != nullptr) return upstream;
-  wait = std::any_of(engines.begin(), engines.end(), [&choice](const UpstreamState* it) {
-    return KnownWeightsVersion(*it, choice.model) == choice.exact_version;
-  });
-  if (wait) return nullptr;
-  // No engine has that version any more, so the text is generated anew.
+// The choice for placing a waiting item, with the preferences that its earlier runs and its group give.
+ItemChoice BatchService::MakePlacement(const Job& job, const Item& item, const Route& route) const {
+  ItemChoice choice = MakeChoice(job, item, route);
+  choice.avoided = item.avoided;
+  const auto group = job.group_upstream.find(item.spec.group);
+  if (group != job.group_upstream.end()) choice.preferred = group->second;
+  return choice;
+}
+
+void BatchService::WantPermits(const std::vector<UpstreamState*>& engines, const ItemChoice& choice,
+                               int items) {
+  for (const PermitWant& it : WantsForItems(engines, choice, items))
+    directory_.WantPermits(*it.upstream, it.calls);
+}
+
+// Decides about an item whose text no engine can continue now. Returns true if its text has been discarded,
+// so that any engine can generate it anew; false if the item waits.
+bool BatchService::DiscardUnlessWaiting(const Job& job, Item& item,
+                                        const std::vector<UpstreamState*>& engines,
+                                        const ItemChoice& choice) {
+  ContinuationWait wait;
+  wait.possible = std::any_of(engines.begin(), engines.end(),
+                              [&choice](const UpstreamState* it) { return CanContinue(*it, choice); });
+  wait.waited = loop_.Now() - item.stopped_at;
+  wait.events = item.events;
+  wait.pace_ms = MedianPace(engines);
+  if (!ShouldDiscardText(wait)) {
+    WantPermits(engines, choice, 1);
+    return false;
+  }
+  LogEventLine(LogLevel::kInfo, LogEvent::kTextDiscarded,
+               {{"job", job.submission.id},
+                {"item", item.spec.id},
+                {"events", item.events},
+                {"text_software", item.software ? Json(*item.software) : Json()},
+                {"exact_weights", choice.exact_version},
+                {"engine_left", wait.possible},
+                {"waited_ms", absl::ToInt64Milliseconds(wait.waited)}});
+  AddCounter(GlobalMetrics(), "texts_discarded", wait.possible ? "waited" : "no_engine_left");
   DiscardText(item);
-  choice.exact_version = 0;
-  return PickForItem(engines, choice);
+  return true;
 }
 
 void BatchService::StartRun(Job& job, Item& item, UpstreamState& upstream) {
@@ -396,6 +427,7 @@
   item.phase = Phase::kRunning;
   item.run = run;
   item.upstream = upstream.entry.id;
+  item.run_software = upstream.entry.software;
   item.started = now;
   item.first_started = std::min(item.first_started, now);
   ++item.runs;
@@ -405,13 +437,14 @@
   item.head_at = now;
   item.version = 0;
   item.reader = {};
-  LogEventLine(LogLevel::kInfo, LogEvent::kItemStarted,
-               {{"job", id},
-                {"item", item.spec.id},
-                {"upstream", item.upstream},
-                {"software", upstream.entry.software},
-                {"after_event", item.last_event},
-                {"text_software", item.software ? Json(*item.software) : Json()}});
+  // Separate events, so that the many first runs of a step do not use up the line budget of the resumed ones.
+  Json line = {
+      {"job", id}, {"item", item.spec.id}, {"upstream", item.upstream}, {"software", item.run_software}};
+  if (item.events > 0) {
+    line["after_event"] = item.last_event;
+    line["text_software"] = item.software ? Json(*item.software) : Json();
+  }
+  LogEventLine(LogLevel::kInfo, item.events > 0 ? LogEvent::kItemResumed : LogEvent::kItemStarted, line);
 
   UpstreamCall call;
   call.address = upstream.entry.address;
@@ -443,6 +476,7 @@
   job.waiting.insert(item.rank);
   UpstreamState* const upstream = directory_.Find(item.upstream);
   if (upstream != nullptr) --upstream->in_flight;
+  item.stopped_at = loop_.Now();
 }
 
 void BatchService::Requeue(Job& job, Item& item, absl::Duration pause, std::string_view reason) {
@@ -512,6 +546,13 @@
   const absl::Time now = loop_.Now();
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
   UpstreamState* const upstream = directory_.Find(item->upstream);
+  // The engine has restarted under its id with other software, and its new registration arrives only now.
+  if (upstream != nullptr && upstream->entry.software != item->run_software) {
+    Requeue(job, *item, absl::ZeroDuration(), "software_changed");
+    DiscardText(*item);
+    Dispatch();
+    return;
+  }
   AddBytes(item->reader, bytes);
   while (const std::optional<StreamEvent> event = NextEvent(item->reader)) {
     if (event->weights) {
@@ -533,7 +574,7 @@
       Dispatch();
       return;
     }
-    if (item->events == 0 && upstream != nullptr) item->software = upstream->entry.software;
+    if (item->events == 0) item->software = item->run_software;
     if (item->events > 0) item->output.push_back('\n');
     item->output += event->data;
     ++item->events;
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -134,8 +134,10 @@
   ItemChoice MakeChoice(const Job& job, const Item& item, const Route& route) const;
   const std::vector<UpstreamState*>& EnginesFor(Job& job, const std::string& service);
   void PlaceItems(Job& job);
-  UpstreamState* PickExact(Item& item, const std::vector<UpstreamState*>& engines, ItemChoice choice,
-                           bool& wait);
+  ItemChoice MakePlacement(const Job& job, const Item& item, const Route& route) const;
+  void WantPermits(const std::vector<UpstreamState*>& engines, const ItemChoice& choice, int items);
+  bool DiscardUnlessWaiting(const Job& job, Item& item, const std::vector<UpstreamState*>& engines,
+                            const ItemChoice& choice);
   void StartRun(Job& job, Item& item, UpstreamState& upstream);
   void OnRunHead(const std::string& job, std::size_t item, std::uint64_t run, const AnswerHead& head);
   void OnRunBytes(const std::string& job, std::size_t item, std::uint64_t run, std::string_view bytes);
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -25,8 +25,9 @@
 constexpr double kRetryAfterJitterSeconds = 0.3;
 constexpr double kMaxRetryAfterShare = 0.3;  // Retry-After is at most this fraction of the caller's time left
 constexpr absl::Duration kGapDecay = absl::Milliseconds(400);  // other work slows an engine for half a second
-constexpr double kLoadCost = 0.5;  // of a full engine; above the true cost, because paces are uncertain
-constexpr int kSlotsPerItem = 3;   // more than one, so that an owner can choose fast and empty engines
+constexpr double kLoadCost = 0.5;      // of a full engine; above the true cost, because paces are uncertain
+constexpr double kDefaultPaceMs = 20;  // of a service without a measured pace
+constexpr int kSlotsPerItem = 3;       // more than one, so that an owner can choose fast and empty engines
 constexpr double kSharedPromptSaving = 0.1;  // cost saved on an engine that has processed the group's prompt
 constexpr double kOtherZoneCost = 0.03;      // small: items send few bytes between zones
 constexpr double kFailedEngineCost = 0.5;    // of the engine that just failed the item
@@ -210,11 +211,20 @@
 
 namespace {
 
+// What two software versions generate does not fit together, so a text goes on only at the version that began
+// it.
+bool HasSoftware(const UpstreamState& upstream, const ItemChoice& choice) {
+  return !choice.software || upstream.entry.software == *choice.software;
+}
+
+bool HasWeights(const UpstreamState& upstream, const ItemChoice& choice) {
+  const std::int64_t held = KnownWeightsVersion(upstream, choice.model);
+  return held >= choice.min_version && (choice.exact_version == 0 || held == choice.exact_version);
+}
+
 // True if the upstream could run the item now, but for its request limit.
 bool IsSuitable(const UpstreamState& upstream, const ItemChoice& choice) {
-  const std::int64_t held = KnownWeightsVersion(upstream, choice.model);
-  if (held < choice.min_version || choice.now < upstream.avoid_until) return false;
-  if (choice.exact_version != 0 && held != choice.exact_version) return false;
+  if (!HasWeights(upstream, choice) || choice.now < upstream.avoid_until) return false;
   const auto unavailable = upstream.unavailable_until.find(choice.model);
   if (unavailable != upstream.unavailable_until.end() && choice.now < unavailable->second) return false;
   return EstimateRunning(upstream, choice.now) < std::max(1, upstream.entry.slots);
@@ -249,6 +259,7 @@
     // The item itself lowers the cost by at most kSharedPromptSaving, so most upstreams are skipped after one
     // comparison.
     if (costs.costs[it] - kSharedPromptSaving >= best_cost) continue;
+    if (!HasSoftware(*costs.upstreams[it], choice)) continue;
     const std::string& id = costs.upstreams[it]->entry.id;
     double cost = costs.costs[it];
     if (id == choice.preferred) cost -= kSharedPromptSaving;
@@ -275,7 +286,7 @@
                                       int items) {
   std::vector<PermitWant> wants;
   for (UpstreamState* it : usable) {
-    if (HasPermit(*it, choice.now) || !IsSuitable(*it, choice)) continue;
+    if (HasPermit(*it, choice.now) || !IsSuitable(*it, choice) || !HasSoftware(*it, choice)) continue;
     const int free = std::max(1, it->entry.slots) - EstimateRunning(*it, choice.now);
     wants.push_back({it, std::min(items, free)});
   }
@@ -296,6 +307,15 @@
   return best;
 }
 
+bool CanContinue(const UpstreamState& upstream, const ItemChoice& choice) {
+  return HasSoftware(upstream, choice) && HasWeights(upstream, choice);
+}
+
+bool ShouldDiscardText(const ContinuationWait& wait) {
+  const double pace_ms = wait.pace_ms > 0 ? wait.pace_ms : kDefaultPaceMs;
+  return !wait.possible || wait.waited >= absl::Milliseconds(pace_ms * static_cast<double>(wait.events));
+}
+
 std::vector<UpstreamState*> EngineShare(const std::vector<UpstreamState*>& usable, const std::string& model,
                                         std::int64_t min_version, int items) {
   const int wanted = items * kSlotsPerItem;
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -94,14 +95,15 @@
 // ---- Items of batch jobs ----------------------------------------------------------------------------------
 
 struct ItemChoice {
-  std::string model;                  //
-  std::int64_t min_version = 0;       // oldest weight version that may run the item
-  std::int64_t exact_version = 0;     // the only weight version that may run it; 0: any from min_version on
-  std::string zone;                   // of this host
-  std::string avoided;                // upstream of the item's last failed run; empty: none
-  std::vector<std::string> excluded;  // upstreams that must not be picked
-  std::string preferred;              // upstream that has processed the group's prompt; empty: none
-  absl::Time now;                     //
+  std::string model;                    //
+  std::int64_t min_version = 0;         // oldest weight version that may run the item
+  std::int64_t exact_version = 0;       // the only weight version that may run it; 0: any from min_version on
+  std::optional<std::string> software;  // the only software version that may run it; nullopt: any
+  std::string zone;                     // of this host
+  std::string avoided;                  // upstream of the item's last failed run; empty: none
+  std::vector<std::string> excluded;    // upstreams that must not be picked
+  std::string preferred;                // upstream that has processed the group's prompt; empty: none
+  absl::Time now;                       //
 };
 // Returns the best upstream with a free slot and suitable weights, or nullptr: the item then waits at this
 // host, and can still be placed on whichever upstream is free first. Load pattern: all items of a step are
@@ -119,6 +121,22 @@
 std::vector<PermitWant> WantsForItems(const std::vector<UpstreamState*>& usable, const ItemChoice& choice,
                                       int items);
 
+// True if the upstream has the software and the weights with which the item may run, whatever its load.
+bool CanContinue(const UpstreamState& upstream, const ItemChoice& choice);
+
+// Whether an item whose text no engine can continue now waits for one, or its text is discarded and generated
+// anew at any engine.
+struct ContinuationWait {
+  bool possible = false;    // an engine in use has the software and the weights that the text needs
+  absl::Duration waited;    // since its last run ended
+  std::int64_t events = 0;  // of the text
+  double pace_ms = 0;       // time between events; 0: unknown
+};
+// Load pattern: during a release, the engines that are left of a software version are full for longer than it
+// takes to generate a short text again. An item waits as long as that takes, and so loses at most twice the
+// shorter of both.
+bool ShouldDiscardText(const ContinuationWait& wait);
+
 // The same for many items of one job: the placement cost is computed once for each upstream, and recomputed
 // only for an upstream that got or lost an item. `choice.exact_version` must be the same in all calls.
 struct PlacementCosts {
--- a/tests/decisions_test.cc
+++ b/tests/decisions_test.cc
@@ -320,5 +320,21 @@
   EXPECT_EQ(ClassifyAttempt(CallEnd::kComplete, head, "r"), AttemptVerdict::kNotRun);
 }
 
+// Replays a release: an item waits for an engine of its version no longer than generating the text again
+// takes.
+TEST(Continuation, WaitsAsLongAsTheTextIsWorth) {
+  ContinuationWait wait;
+  wait.possible = true;
+  wait.events = 50;
+  wait.pace_ms = 30;
+  wait.waited = absl::Milliseconds(1490);
+  EXPECT_FALSE(ShouldDiscardText(wait));
+  wait.waited = absl::Milliseconds(1500);
+  EXPECT_TRUE(ShouldDiscardText(wait));
+  wait.possible = false;
+  wait.waited = absl::ZeroDuration();
+  EXPECT_TRUE(ShouldDiscardText(wait));
+}
+
 }  // namespace
 }  // namespace oleander::serving
