Resume callers' streams only at the software version that began them

The same cause as for texts of items, in the other place that continues a stream: a caller that takes up a stream of a resumable route again was sent to any upstream of the service. Change: the host that begins such a stream records the upstream's software version in the store, under the request id that callers name when they take the stream up again. Any host reads the record and uses upstreams of that version and service only. Evidence: with the filter taken out, GoesOnAtItsOwnVersionAtAnyHost and IsRefusedAsNotRunIfItsVersionIsUnknownOrGone fail.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -73,6 +73,8 @@
   kTextDiscarded = 535,
   kItemResumed = 536,
   kWeightsOrdered = 604,
+  kStreamRecordFailed = 904,
+  kStreamResumed = 905,
   kRequestAnswered = 900,
   kRequestRefused = 901,
   kAttemptFailed = 902,
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 67> kEventNames = {{
+constexpr std::array<EventName, 69> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -88,6 +88,8 @@
     {LogEvent::kBatchRefused, "batch_refused"},
     {LogEvent::kBatchRemoved, "batch_removed"},
     {LogEvent::kWeightsOrdered, "weights_ordered"},
+    {LogEvent::kStreamRecordFailed, "stream_record_failed"},
+    {LogEvent::kStreamResumed, "stream_resumed"},
     {LogEvent::kRequestAnswered, "request_answered"},
     {LogEvent::kRequestRefused, "request_refused"},
     {LogEvent::kAttemptFailed, "attempt_failed"},
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -68,6 +68,12 @@
   return std::find(list.begin(), list.end(), value) != list.end();
 }
 
+// What two software versions generate does not fit together, so a text goes on only at the version that began
+// it.
+bool HasSoftware(const UpstreamState& upstream, const std::optional<std::string>& software) {
+  return !software || upstream.entry.software == *software;
+}
+
 // Expected latency of a call that is sent to the upstream now, in milliseconds.
 double ExpectedLatency(const UpstreamState& upstream, double mean_latency_ms, absl::Time now) {
   const double fresh = upstream.latency_ms <= 0 ? 0 : Freshness(upstream.latency_at, now, kLatencyDecay);
@@ -141,6 +147,7 @@
   double best_cost = 0;
   for (UpstreamState* it : usable) {
     if (Contains(choice.tried, it->entry.id) || !HasPermit(*it, choice.now)) continue;
+    if (!HasSoftware(*it, choice.software)) continue;
     double cost = ExpectedLatency(*it, mean_latency_ms, choice.now);
     if (it->entry.zone != choice.zone)
       cost += choice.zone_isolated ? kIsolatedZonePenaltyMs : kOtherZonePenaltyMs;
@@ -211,12 +218,6 @@
 
 namespace {
 
-// What two software versions generate does not fit together, so a text goes on only at the version that began
-// it.
-bool HasSoftware(const UpstreamState& upstream, const ItemChoice& choice) {
-  return !choice.software || upstream.entry.software == *choice.software;
-}
-
 bool HasWeights(const UpstreamState& upstream, const ItemChoice& choice) {
   const std::int64_t held = KnownWeightsVersion(upstream, choice.model);
   return held >= choice.min_version && (choice.exact_version == 0 || held == choice.exact_version);
@@ -259,7 +260,7 @@
     // The item itself lowers the cost by at most kSharedPromptSaving, so most upstreams are skipped after one
     // comparison.
     if (costs.costs[it] - kSharedPromptSaving >= best_cost) continue;
-    if (!HasSoftware(*costs.upstreams[it], choice)) continue;
+    if (!HasSoftware(*costs.upstreams[it], choice.software)) continue;
     const std::string& id = costs.upstreams[it]->entry.id;
     double cost = costs.costs[it];
     if (id == choice.preferred) cost -= kSharedPromptSaving;
@@ -286,20 +287,22 @@
                                       int items) {
   std::vector<PermitWant> wants;
   for (UpstreamState* it : usable) {
-    if (HasPermit(*it, choice.now) || !IsSuitable(*it, choice) || !HasSoftware(*it, choice)) continue;
+    if (HasPermit(*it, choice.now) || !IsSuitable(*it, choice) || !HasSoftware(*it, choice.software))
+      continue;
     const int free = std::max(1, it->entry.slots) - EstimateRunning(*it, choice.now);
     wants.push_back({it, std::min(items, free)});
   }
   return wants;
 }
 
-UpstreamState* PickWithoutPermit(const std::vector<UpstreamState*>& usable,
-                                 const std::vector<std::string>& tried, absl::Time now) {
+UpstreamState* PickWithoutPermit(const std::vector<UpstreamState*>& usable, const UnaryChoice& choice) {
   UpstreamState* best = nullptr;
   double best_load = 0;
   for (UpstreamState* it : usable) {
-    if (HasPermit(*it, now) || Contains(tried, it->entry.id) || now < it->avoid_until) continue;
-    const double load = EstimateRunning(*it, now) / std::max(0.1, *it->request_limit);
+    if (HasPermit(*it, choice.now) || Contains(choice.tried, it->entry.id) || choice.now < it->avoid_until)
+      continue;
+    if (!HasSoftware(*it, choice.software)) continue;
+    const double load = EstimateRunning(*it, choice.now) / std::max(0.1, *it->request_limit);
     if (best != nullptr && load >= best_load) continue;
     best = it;
     best_load = load;
@@ -308,7 +311,7 @@
 }
 
 bool CanContinue(const UpstreamState& upstream, const ItemChoice& choice) {
-  return HasSoftware(upstream, choice) && HasWeights(upstream, choice);
+  return HasSoftware(upstream, choice.software) && HasWeights(upstream, choice);
 }
 
 bool ShouldDiscardText(const ContinuationWait& wait) {
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -37,6 +37,7 @@
   std::string zone;                // of this host
   std::vector<std::string> tried;  // upstreams that this request was already sent to
   absl::Time now;                  //
+  std::optional<std::string> software = std::nullopt;  // the only software version that may run it
 };
 // Returns the upstream with the lowest expected latency, or nullptr. Load pattern: one of a few upstreams is
 // slow for seconds while its load report is late. Its latency average moves requests away from it, and decays
@@ -56,8 +57,7 @@
 
 // Returns the upstream with a request limit at which a call should wait for a permit, or nullptr: the one
 // with the fewest requests for its limit.
-UpstreamState* PickWithoutPermit(const std::vector<UpstreamState*>& usable,
-                                 const std::vector<std::string>& tried, absl::Time now);
+UpstreamState* PickWithoutPermit(const std::vector<UpstreamState*>& usable, const UnaryChoice& choice);
 
 // ---- Scoring calls ----------------------------------------------------------------------------------------
 
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -25,6 +25,7 @@
   absl::Time started;    //
   AnswerHead head;       //
   std::string body;      //
+  std::string software;  // version of the upstream when the attempt started
 };
 
 struct Frontend::Exchange {
@@ -41,8 +42,9 @@
   std::optional<HttpResponse> last_failure;  // from an upstream that ran the request
   TimerId timeout_timer = 0;
   TimerId hedge_timer = 0;
-  bool permit_requested = false;  // once for each exchange
-  TimerId permit_timer = 0;       // set while the exchange waits for a permit
+  std::optional<std::string> software;  // the only version that may run it; nullopt: any
+  bool permit_requested = false;        // once for each exchange
+  TimerId permit_timer = 0;             // set while the exchange waits for a permit
 };
 
 HttpResponse MakeErrorResponse(ErrorKind kind, std::optional<double> retry_after_seconds) {
@@ -70,7 +72,9 @@
   exchange.id = id;
   exchange.request = std::move(request);
   exchange.route = route;
-  exchange.service = ChooseService(route, exchange.request.id);
+  // A stream that is taken up again goes to the service that began it.
+  exchange.service = ChooseService(
+      route, exchange.request.resumed_stream.empty() ? exchange.request.id : exchange.request.resumed_stream);
   exchange.respond = std::move(respond);
   exchange.started = loop_.Now();
   exchange.expires_at = exchange.started +
@@ -79,10 +83,41 @@
   if (route.kind == RouteKind::kIdempotent && route.max_attempts > 1) {
     exchange.hedge_timer = loop_.After(DelayBeforeHedge(route.objective), [this, id] { OnHedge(id); });
   }
-  StartAttempt(exchange);
+  if (exchange.request.resumes && route.kind == RouteKind::kStreaming) {
+    ResumeStream(exchange);
+  } else {
+    StartAttempt(exchange);
+  }
   return id;
 }
 
+// Looks up the software version that began the stream, then sends the request to an upstream of that version
+// only. Without a record it is refused as not run: the events that the caller has may not fit to those of any
+// upstream.
+void Frontend::ResumeStream(Exchange& exchange) {
+  if (stream_versions_ == nullptr || exchange.request.resumed_stream.empty()) {
+    Refuse(exchange, ErrorKind::kNoUpstream);
+    return;
+  }
+  stream_versions_->Find(exchange.request.resumed_stream,
+                         [this, id = exchange.id](const std::optional<std::string>& software) {
+                           const auto it = exchanges_.find(id);
+                           if (it == exchanges_.end()) return;
+                           Exchange& found = *it->second;
+                           LogEventLine(LogLevel::kInfo, LogEvent::kStreamResumed,
+                                        {{"request", found.request.id},
+                                         {"stream", found.request.resumed_stream},
+                                         {"software", software ? Json(*software) : Json()},
+                                         {"ms", absl::ToInt64Milliseconds(loop_.Now() - found.started)}});
+                           if (!software) {
+                             Refuse(found, ErrorKind::kNoUpstream);
+                             return;
+                           }
+                           found.software = software;
+                           StartAttempt(found);
+                         });
+}
+
 void Frontend::CancelRequest(FrontendRequestId id) {
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
@@ -100,6 +135,7 @@
   choice.zone_isolated = zone_isolated_;
   choice.zone = zone_;
   choice.tried = exchange.tried;
+  choice.software = exchange.software;
   choice.now = loop_.Now();
   return choice;
 }
@@ -113,7 +149,7 @@
   }
   // Upstreams without a limit are full, so later requests need those with one.
   if (EstimateRunning(*upstream, now) >= std::max(1, upstream->entry.slots)) {
-    WantPermitOfAny(directory_, exchange.service, exchange.tried, 1, now);
+    WantPermitOfAny(directory_, exchange.service, MakeUnaryChoice(exchange), 1);
   }
   UpstreamCall call;
   call.address = upstream->entry.address;
@@ -139,6 +175,12 @@
     attempt.head = head;
     UpstreamState* state = directory_.Find(attempt.upstream);
     if (state != nullptr) ObserveHead(*state, head, "", attempt.started, loop_.Now());
+    // Recorded as the stream begins, so that the caller can resume it even if this host crashes.
+    const Exchange& exchange = *it->second;
+    const bool begins = exchange.route.kind == RouteKind::kStreaming && exchange.route.resumable &&
+                        !exchange.request.resumes && head.status == 200;
+    if (begins && stream_versions_ != nullptr)
+      stream_versions_->Record(exchange.request.id, attempt.software);
   };
   handlers.on_body = [this, id, self](std::string_view piece) {
     const auto it = exchanges_.find(id);
@@ -146,7 +188,7 @@
   };
   handlers.on_end = [this, id, self](CallEnd end) { OnAttemptEnd(id, *self, end); };
   *self = link_.Start(std::move(call), std::move(handlers));
-  exchange.attempts[*self] = {upstream->entry.id, now, {}, {}};
+  exchange.attempts[*self] = {upstream->entry.id, now, {}, {}, upstream->entry.software};
 }
 
 void Frontend::OnAttemptEnd(FrontendRequestId id, CallId call, CallEnd end) {
@@ -226,11 +268,11 @@
 // there is no such upstream, or the exchange has waited before.
 bool Frontend::AwaitPermit(Exchange& exchange) {
   if (exchange.permit_requested) return false;
-  const absl::Time now = loop_.Now();
-  if (PickWithoutPermit(directory_.Usable(exchange.service), exchange.tried, now) == nullptr) return false;
+  const UnaryChoice choice = MakeUnaryChoice(exchange);
+  if (PickWithoutPermit(directory_.Usable(exchange.service), choice) == nullptr) return false;
   exchange.permit_requested = true;
   const int waiting = static_cast<int>(waiting_for_permit_.size()) + 1;
-  if (!WantPermitOfAny(directory_, exchange.service, exchange.tried, waiting, now)) return false;
+  if (!WantPermitOfAny(directory_, exchange.service, choice, waiting)) return false;
   waiting_for_permit_.insert(exchange.id);
   exchange.permit_timer = loop_.After(kPermitWait, [this, id = exchange.id] {
     const auto it = exchanges_.find(id);
--- a/src/serving/frontend.h
+++ b/src/serving/frontend.h
@@ -14,6 +14,7 @@
 #include "oleander/serving.h"
 #include "serving/decisions.h"
 #include "serving/directory.h"
+#include "serving/stream_versions.h"
 
 namespace oleander::serving {
 
@@ -22,6 +23,9 @@
   std::string host;                        // value of the Host header
   std::string id;                          // request id of this attempt by the caller
   std::optional<absl::Duration> deadline;  // how long the caller will wait
+  bool resumes = false;  // the caller takes up a stream again, after the last event that it has
+  std::string
+      resumed_stream;  // request id of the attempt that brought the stream's first event; empty: not stated
 };
 using FrontendRequestId = std::uint64_t;
 
@@ -32,6 +36,9 @@
  public:
   Frontend(Loop& loop, UpstreamLink& link, Directory& directory, std::string zone);
   ~Frontend();
+  // From now on, streams of resumable routes are recorded, and continue at the software version that began
+  // them. Without this, no stream that a caller takes up again is sent to an upstream.
+  void UseStreamVersions(StreamVersions& versions) { stream_versions_ = &versions; }
   // Invokes `respond` exactly once unless the request is cancelled. `route` is copied.
   FrontendRequestId Handle(CallerRequest request, const Route& route, Responder respond);
   // Cancels the upstream calls of a request whose caller has disconnected.
@@ -46,6 +53,7 @@
   struct Attempt;
   struct Exchange;
   UnaryChoice MakeUnaryChoice(const Exchange& exchange) const;
+  void ResumeStream(Exchange& exchange);
   void StartAttempt(Exchange& exchange);
   void OnAttemptEnd(FrontendRequestId id, CallId call, CallEnd end);
   void OnTimeout(FrontendRequestId id);
@@ -61,6 +69,7 @@
   UpstreamLink& link_;
   Directory& directory_;
   std::string zone_;
+  StreamVersions* stream_versions_ = nullptr;
   bool zone_isolated_ = false;
   FrontendRequestId next_id_ = 1;
   std::map<FrontendRequestId, std::unique_ptr<Exchange>> exchanges_;
--- a/src/serving/request_limits.cc
+++ b/src/serving/request_limits.cc
@@ -6,7 +6,6 @@
 
 #include "oleander/log_events.h"
 #include "oleander/metrics.h"
-#include "serving/decisions.h"
 
 namespace oleander::serving {
 namespace {
@@ -25,11 +24,10 @@
 
 }  // namespace
 
-bool WantPermitOfAny(Directory& directory, std::string_view service, std::vector<std::string> tried,
-                     int calls, absl::Time now) {
-  while (UpstreamState* const limited = PickWithoutPermit(directory.Usable(service), tried, now)) {
+bool WantPermitOfAny(Directory& directory, std::string_view service, UnaryChoice choice, int calls) {
+  while (UpstreamState* const limited = PickWithoutPermit(directory.Usable(service), choice)) {
     if (directory.WantPermits(*limited, calls)) return true;
-    tried.push_back(limited->entry.id);
+    choice.tried.push_back(limited->entry.id);
   }
   return false;
 }
--- a/src/serving/request_limits.h
+++ b/src/serving/request_limits.h
@@ -14,10 +14,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "absl/time/time.h"
 #include "oleander/serving.h"
+#include "serving/decisions.h"
 #include "serving/directory.h"
 #include "serving/request_budget.h"
 #include "serving/store_clock.h"
@@ -25,9 +25,8 @@
 namespace oleander::serving {
 
 // Requests permits for `calls` calls of a service from one of its upstreams that limit their requests, other
-// than those in `tried`. Returns false if none of them will grant one soon.
-bool WantPermitOfAny(Directory& directory, std::string_view service, std::vector<std::string> tried,
-                     int calls, absl::Time now);
+// than those that `choice` excludes. Returns false if none of them will grant one soon.
+bool WantPermitOfAny(Directory& directory, std::string_view service, UnaryChoice choice, int calls);
 
 class RequestLimits {
  public:
--- a/src/serving/scoring.cc
+++ b/src/serving/scoring.cc
@@ -120,7 +120,9 @@
 // Requests a permit of an upstream that limits its requests, so that a later Dispatch can send the call.
 void ScoringCalls::WantPermit(const Call& call, const Route& route) {
   const int waiting = std::min(Open() - in_progress_, static_cast<int>(limit_.max_calls));
-  WantPermitOfAny(directory_, ChooseService(route, call.request.id), {}, std::max(1, waiting), loop_.Now());
+  UnaryChoice choice;
+  choice.now = loop_.Now();
+  WantPermitOfAny(directory_, ChooseService(route, call.request.id), choice, std::max(1, waiting));
 }
 
 void ScoringCalls::Send(Call& call, const Route& route, UpstreamState& upstream) {
--- a/tests/frontend_test.cc
+++ b/tests/frontend_test.cc
@@ -281,6 +281,88 @@
 
 // Guards against sending work to an upstream at a tenth of its usual speed, and against never trying it
 // again.
+// A resumable streaming route, and two hosts that share a store. u1 has another software version than u2 and
+// u3.
+struct ResumedStreamTest : FrontendTest {
+  ResumedStreamTest() {
+    route.kind = RouteKind::kStreaming;
+    route.resumable = true;
+    for (const char* id : {"u1", "u2", "u3"}) {
+      UpstreamEntry entry = directory.Find(id)->entry;
+      entry.software = entry.id == "u1" ? "v1" : "v2";
+      directory.ApplyUpstream(entry);
+    }
+    frontend.UseStreamVersions(versions);
+    other.UseStreamVersions(other_versions);
+  }
+  void Send(Frontend& host, const std::string& id, const std::string& resumed_stream) {
+    CallerRequest request;
+    request.id = id;
+    request.resumes = !resumed_stream.empty();
+    request.resumed_stream = resumed_stream;
+    request.http = {"POST", "/l/x", {}, "body"};
+    host.Handle(std::move(request), route, [this](HttpResponse response) { answers.push_back(response); });
+    loop.RunFor(absl::Milliseconds(600));
+  }
+  std::string UpstreamOfLast() const { return link.sent.rbegin()->second.call.expected_id; }
+  std::string SoftwareOfLast() { return directory.Find(UpstreamOfLast())->entry.software; }
+
+  fakes::FakeStore store{loop};
+  fakes::StorePort port{store};
+  fakes::StorePort other_port{store};
+  StreamVersions versions{loop, port};
+  StreamVersions other_versions{loop, other_port};
+  Frontend other{loop, link, directory, "a"};
+};
+
+// Failure: a stream that its caller took up again went on at any upstream of the service.
+TEST_F(ResumedStreamTest, GoesOnAtItsOwnVersionAtAnyHost) {
+  for (int it = 0; it < 12; ++it) {
+    const std::string stream = absl::StrCat("s", it);
+    directory.Find(it % 2 == 0 ? "u1" : "u2")->avoid_until = loop.Now() + absl::Milliseconds(300);
+    Send(frontend, stream, "");
+    const std::string software = SoftwareOfLast();
+    directory.Find(UpstreamOfLast())->in_flight += 5;  // the other upstreams are better
+    Send(other, absl::StrCat("again", it), stream);
+    EXPECT_EQ(SoftwareOfLast(), software);
+    for (const char* id : {"u1", "u2", "u3"}) directory.Find(id)->in_flight = 0;
+  }
+  for (const HttpResponse& it : answers) EXPECT_EQ(it.status, 200);
+}
+
+TEST_F(ResumedStreamTest, IsRefusedAsNotRunIfItsVersionIsUnknownOrGone) {
+  Send(other, "again", "never-recorded");
+  EXPECT_EQ(answers.back().status, 503);
+  directory.Find("u2")->avoid_until = directory.Find("u3")->avoid_until = loop.Now() + absl::Seconds(1);
+  Send(frontend, "s1", "");
+  ASSERT_EQ(UpstreamOfLast(), "u1");
+  const std::size_t sent = link.sent.size();
+  directory.RemoveUpstream("u1", loop.Now(), loop.Now());
+  Send(other, "again1", "s1");
+  EXPECT_EQ(answers.back().status, 503);
+  EXPECT_EQ(link.sent.size(), sent);
+}
+
+TEST_F(ResumedStreamTest, IsRefusedSoonWhileTheStoreDoesNotAnswer) {
+  Send(frontend, "s1", "");
+  other_port.disconnected = true;
+  Send(other, "again1", "s1");
+  ASSERT_EQ(answers.size(), 2u);
+  EXPECT_EQ(answers.back().status, 503);
+}
+
+TEST_F(ResumedStreamTest, OldRecordsAreRemoved) {
+  Send(frontend, "s1", "");
+  loop.RunFor(absl::Minutes(6));
+  Send(frontend, "s2", "");
+  versions.Sweep();
+  loop.RunFor(absl::Seconds(1));
+  std::size_t records = 0;
+  for (const std::pair<const std::string, std::map<std::string, Row>>& it : store.rows)
+    records += it.second.size();
+  EXPECT_EQ(records, 1u);
+}
+
 TEST(Decisions, ASlowUpstreamIsAvoidedForAWhile) {
   std::vector<UpstreamState> states(3);
   std::vector<UpstreamState*> usable;
