Let a host without the store send to an upstream whose limit is old

Cause: knowledge that only use can renew, guarded by a right to use that only the store gives. Change: without the store, a host sends one request in 20 s to an upstream whose limit it has not heard of for 20 s.

--- a/src/serving/request_limits.cc
+++ b/src/serving/request_limits.cc
@@ -16,6 +16,9 @@
 constexpr int kMaxConflicts = 3;  // in a row, then the host waits for kDrawInterval
 // Without a useful answer of the store for this long, the host uses OutageRate.
 constexpr absl::Duration kOutageThreshold = absl::Seconds(1);
+// A host that the store does not answer sends one request to an upstream whose limit it has not heard of for
+// longer.
+constexpr absl::Duration kOldLimitAge = absl::Seconds(20);
 constexpr absl::Duration kBudgetRetention = absl::Minutes(10);  // of an upstream that is not listed
 
 RowKey BudgetRow(const std::string& upstream) {
@@ -140,12 +143,16 @@
 
 void RequestLimits::GrantDuringOutage(Account& account, UpstreamState& upstream) {
   const absl::Time now = loop_.Now();
+  if (HasPermit(upstream, now)) return;
   const ServiceSpec* const spec = directory_.FindService(upstream.entry.service);
   const int models = spec == nullptr ? 0 : static_cast<int>(spec->models.size());
   const double rate = OutageRate(account.budget, incarnation_, *upstream.request_limit, models);
-  if (rate <= 0 || HasPermit(upstream, now)) return;
-  account.outage_refilled_at = std::max(account.outage_refilled_at, account.unanswered_since);
-  if (now - account.outage_refilled_at < absl::Seconds(1 / rate)) return;
+  const absl::Duration interval = rate > 0 ? absl::Seconds(1 / rate) : absl::InfiniteDuration();
+  const bool due = now - std::max(account.outage_refilled_at, account.unanswered_since) >= interval;
+  // A limit that was stated long ago may have been lifted since, and only an answer can show that.
+  const bool probe_due =
+      now - upstream.limit_stated_at >= kOldLimitAge && now - account.outage_refilled_at >= kOldLimitAge;
+  if (!due && !probe_due) return;
   account.outage_refilled_at = now;
   Grant(upstream, 1, now + kTokenLifetime, "outage");
 }
--- a/tests/request_limits_test.cc
+++ b/tests/request_limits_test.cc
@@ -293,6 +293,25 @@
   EXPECT_EQ(store.rows["request_budget/e1"].size(), 1u);
 }
 
+// Failure: a host that had not sent to the upstreams since their limit was lifted refused all lookups in an
+// outage.
+TEST_F(RequestLimitsTest, AHostCutOffFromTheStoreNoticesThatAnOldLimitWasLifted) {
+  AddLookups(2);
+  TestHost& host = AddHost();
+  StateLimit("lookups", 1);
+  SendLookups(host, absl::Milliseconds(500), absl::Seconds(2));
+  loop.RunFor(absl::Seconds(3));
+  StateLimit("lookups", std::nullopt);
+  host.store.disconnected = true;
+  loop.RunFor(absl::Seconds(30));
+  SendLookups(host, absl::Milliseconds(200), absl::Seconds(4));
+  loop.RunFor(absl::Seconds(3));
+  statuses.clear();
+  loop.RunFor(absl::Seconds(2));
+  EXPECT_GT(statuses[200], 0);
+  EXPECT_EQ(statuses[503], 0);
+}
+
 UpstreamState LimitedUpstream(double limit, absl::Time now) {
   UpstreamState upstream;
   AnswerHead head;
