Append the baseline routers one by one

Cause: with g++ 12 on arm64 the range inserted into a vector of one element gives a false -Warray-bounds, which -Werror makes an error, so the default build stops. Change: AllRouters appends the elements in a loop; no warning is switched off.

--- a/bench/policy_scenarios.h
+++ b/bench/policy_scenarios.h
@@ -37,7 +37,7 @@
 }
 inline std::vector<Router> AllRouters() {
   std::vector<Router> routers = {Router::kRouting};
-  routers.insert(routers.end(), BaselineRouters().begin(), BaselineRouters().end());
+  for (const Router router : BaselineRouters()) routers.push_back(router);
   return routers;
 }
 
