--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -86,8 +86,9 @@
 
     def last_words(self):
         """The last line of the log that isn't a log event, such as an exception that nobody caught."""
-        lines = (self.deployment.folder / f"{self.name}.log").read_text().splitlines()
-        return next((it.strip() for it in reversed(lines) if it and not it.startswith("{")), "")
+        lines = (self.deployment.folder / f"{self.name}.log").read_text(errors="replace").splitlines()
+        words = next((it.strip() for it in reversed(lines) if it and not it.startswith("{")), "")
+        return "".join(it for it in words if it.isprintable())[:200]
 
 
 class Deployment:
--- a/review/standins/net.py
+++ b/review/standins/net.py
@@ -57,6 +57,36 @@
             writer.transport.abort()
 
 
+class KeptConnection:
+    """A client that keeps its connection to `address` for many requests, and opens a new one when that is closed."""
+
+    def __init__(self, address):
+        self.address, self.writer, self.served = address, None, 0
+
+    async def call(self, method, target, headers, body=b"", timeout=5.0):
+        """Returns (status or None, number of requests answered before on this connection)."""
+        try:
+            async with asyncio.timeout(timeout):
+                if self.writer is None:
+                    host, _, port = self.address.rpartition(":")
+                    self.reader, self.writer = await asyncio.open_connection(host, int(port), limit=1 << 22)
+                    self.served = 0
+                before = self.served
+                self.writer.write(message(f"{method} {target} HTTP/1.1", headers, body))
+                answer = await read_message(self.reader)
+        except (OSError, TimeoutError):
+            answer, before = None, self.served
+        self.served += 1
+        if answer is None or answer[1].get("connection", "").lower() == "close":
+            self.close()
+        return answer and (int(answer[0].split()[1])), before
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.transport.abort()
+        self.writer = None
+
+
 def free_port(ip):
     """A port that is free on `ip` at this moment."""
     with socket.socket() as probe:
