--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -201,7 +201,7 @@
 
 
 def main(folder, case):
-    """Runs `case(record)`, which returns True if the rule held, and exits as the issue asks."""
+    """Runs `case(record)`, which returns True if the rule held, and exits with 0, 1 or 2 (the case could not run)."""
     record = Record(pathlib.Path(folder) / "record.txt")
     record(f"trouble: {TROUBLE}")
 
