Review: the stand-ins lie in review/ itself, and give each port once

Cause: review/ holds a folder for each case only. Change: review/standins/ is gone, its modules lie beside build.sh; ports are given once, below the range of outgoing connections; each run has its own loopback addresses.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,7 +3,7 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 from deployment import TROUBLE, BatchClient, Deployment, encode_job, main, make_items
 from net import response
 
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -16,9 +16,10 @@
 from net import Record, call, free_port
 from store import Store, StorePort
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HEARTBEAT_S = 1.2
 MEMORY_MB = 150
+NETWORK = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 250 + 1}"  # loopback addresses of this run
 ZONES = ["attiki-a", "attiki-b", "attiki-c"]
 MODELS = ["m0", "m1"]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -47,7 +48,7 @@
 
     def __init__(self, deployment, number):
         self.deployment, self.number, self.zone = deployment, number, ZONES[number % len(ZONES)]
-        self.name, self.ip = f"front-{number}", f"127.0.1.{10 + number}"
+        self.name, self.ip = f"front-{number}", f"{NETWORK}.{10 + number}"
         self.front, self.ready_at = f"{self.ip}:{free_port(self.ip)}", f"{self.ip}:{free_port(self.ip)}"
         self.store = StorePort(deployment.store)
         self.process = None
@@ -105,7 +106,7 @@
 
     async def start(self):
         for it in self.engines + self.services:
-            await it.start("127.0.0.1")
+            await it.start(f"{NETWORK}.1")
             it.register()
         self.store.put("op", "config", policy(1))
         for it in self.hosts:
@@ -114,7 +115,8 @@
         end = time.monotonic() + 20
         while not all([await it.ready() for it in self.hosts]):
             if time.monotonic() > end:
-                raise RuntimeError("the hosts aren't ready")
+                ended = {it.name: it.process.returncode for it in self.hosts}
+                raise RuntimeError(f"the hosts aren't ready; their exit statuses: {ended}")
             await asyncio.sleep(0.1)
 
     async def beat(self):
--- a/review/standins/net.py
+++ b/review/net.py
@@ -1,9 +1,12 @@
 """Small HTTP/1.1 helpers for the stand-ins and scripts of the review: a server, a client, and free loopback ports."""
 import asyncio
 import json
+import random
 import socket
 import time
 
+given_ports = set()
+
 
 async def read_message(reader):
     """Returns (first line, headers, body) of a request or response with a length or in chunks; None at the end."""
@@ -88,10 +91,17 @@
 
 
 def free_port(ip):
-    """A port that is free on `ip` at this moment."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """A port that is free on `ip`, given once. It lies below the range of ports that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        if (ip, port) not in given_ports:
+            given_ports.add((ip, port))
+            return port
 
 
 class Connection:
