Log calls that time out, with the age of their connection

A host whose idle connections have all fallen silent and a host whose peer is down log the same failed calls to the store: neither the connection nor its age is in any line, so the two cannot be told apart.

Event 220 (call_unanswered) gives, for each call that timed out, whether its connection had been idle and for how long, and how many idle connections to the address are left.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -52,6 +52,7 @@
   kUpstreamLimit = 217,
   kUpstreamRate = 218,
   kPermitsGranted = 219,
+  kCallUnanswered = 220,
   kFeedRestarted = 402,
   kStoreAnswerUnexpected = 403,
   kRecordUnreadable = 404,
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 69> kEventNames = {{
+constexpr std::array<EventName, 70> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -67,6 +67,7 @@
     {LogEvent::kUpstreamLimit, "upstream_limit"},
     {LogEvent::kUpstreamRate, "upstream_rate"},
     {LogEvent::kPermitsGranted, "permits_granted"},
+    {LogEvent::kCallUnanswered, "call_unanswered"},
     {LogEvent::kFeedRestarted, "feed_restarted"},
     {LogEvent::kStoreAnswerUnexpected, "store_answer_unexpected"},
     {LogEvent::kRecordUnreadable, "record_unreadable"},
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -52,11 +52,13 @@
   http::request<http::string_body> outbound;
   bool keep_allowed = true;
   absl::Time idle_until;
+  absl::Time last_received = absl::InfinitePast();  // last byte from the peer, over all calls
 
   // State of the call in progress.
   CallId call = 0;
   HttpCallHandlers handlers;
   bool connected = false;
+  bool reused = false;  // it was idle before the call
   bool write_started = false;
   bool write_done = false;
   bool head_reported = false;
@@ -101,6 +103,7 @@
   }
   connection->call = id;
   connection->handlers = std::move(handlers);
+  connection->reused = connection->connected;
   connection->write_started = false;
   connection->write_done = false;
   connection->head_reported = false;
@@ -245,6 +248,7 @@
                                        if (connection->call != id) return;
                                        connection->buffer.commit(n);
                                        connection->received_bytes += n;
+                                       if (n > 0) connection->last_received = loop_.Now();
                                        OnReceived(connection, !Parse(*connection, ec));
                                      });
 }
@@ -349,6 +353,7 @@
                   {"received", connection->received_bytes},
                   {"ms", absl::ToInt64Milliseconds(loop_.Now() - connection->started)}});
   }
+  if (end == CallEnd::kTimedOut) LogUnanswered(*connection);
   connection->call = 0;
   loop_.Cancel(connection->timer);
   HttpCallHandlers handlers = std::move(connection->handlers);
@@ -363,6 +368,20 @@
   if (handlers.on_end) handlers.on_end(end);
 }
 
+void HttpClient::LogUnanswered(const Connection& connection) const {
+  const auto idle = idle_.find(connection.address);
+  const absl::Time now = loop_.Now();
+  Json line = {{"address", connection.address},
+               {"reused", connection.reused},
+               {"received", connection.received_bytes},
+               {"silent_ms", absl::ToInt64Milliseconds(now - connection.last_activity)},
+               {"ms", absl::ToInt64Milliseconds(now - connection.started)},
+               {"idle_connections", idle == idle_.end() ? 0 : idle->second.size()}};
+  if (connection.reused && connection.last_received < connection.started)
+    line["idle_before_ms"] = absl::ToInt64Milliseconds(connection.started - connection.last_received);
+  LogEventLine(LogLevel::kInfo, LogEvent::kCallUnanswered, line);
+}
+
 void HttpClient::KeepIdle(const ConnectionPtr& connection) {
   std::deque<ConnectionPtr>& idle = idle_[connection->address];
   connection->parser.reset();
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -73,6 +73,7 @@
   bool CheckSizeLimits(const ConnectionPtr& connection, std::size_t body_bytes);
   void AbortLargest();
   void Finish(const ConnectionPtr& connection, CallEnd end);
+  void LogUnanswered(const Connection& connection) const;
   void KeepIdle(const ConnectionPtr& connection);
   void ScheduleTimeoutCheck(const ConnectionPtr& connection);
   void CheckTimeouts(const ConnectionPtr& connection);
