Close idle connections that may be silent after a call on another one timed out

Cause: a call without an answer closed its own connection only. The next call took the next idle connection to the address, up to 64 of them, and each cost a whole timeout of 0.9 to 1.3 s. The host stayed cut off from a store that answered new connections at once, so its owner did not learn of the end; it also took the silence for an outage, during which items go on. The second is right once the first does not last.

Fix: a timeout, or the cancellation of a call that was silent for a second, closes the idle connections to the address that have received nothing since the call fell silent. A connection that has answered since is kept, so an engine that is slow once costs few new connections. All users of the client are covered: feeds, leases, reports, load queries, orders, runs and lookups.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -53,6 +53,7 @@
   kUpstreamRate = 218,
   kPermitsGranted = 219,
   kCallUnanswered = 220,
+  kIdleConnectionsClosed = 221,
   kFeedRestarted = 402,
   kStoreAnswerUnexpected = 403,
   kRecordUnreadable = 404,
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 70> kEventNames = {{
+constexpr std::array<EventName, 71> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -68,6 +68,7 @@
     {LogEvent::kUpstreamRate, "upstream_rate"},
     {LogEvent::kPermitsGranted, "permits_granted"},
     {LogEvent::kCallUnanswered, "call_unanswered"},
+    {LogEvent::kIdleConnectionsClosed, "idle_connections_closed"},
     {LogEvent::kFeedRestarted, "feed_restarted"},
     {LogEvent::kStoreAnswerUnexpected, "store_answer_unexpected"},
     {LogEvent::kRecordUnreadable, "record_unreadable"},
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -168,6 +168,8 @@
   connection->call = 0;
   connection->handlers = {};
   connection->Close();
+  if (connection->write_started && loop_.Now() - connection->last_activity >= limits_.suspect_after)
+    CloseSuspects(connection->address, connection->last_activity);
 }
 
 HttpClient::ConnectionPtr HttpClient::TakeIdle(const std::string& address) {
@@ -353,7 +355,10 @@
                   {"received", connection->received_bytes},
                   {"ms", absl::ToInt64Milliseconds(loop_.Now() - connection->started)}});
   }
-  if (end == CallEnd::kTimedOut) LogUnanswered(*connection);
+  if (end == CallEnd::kTimedOut) {
+    LogUnanswered(*connection);
+    CloseSuspects(connection->address, connection->last_activity);
+  }
   connection->call = 0;
   loop_.Cancel(connection->timer);
   HttpCallHandlers handlers = std::move(connection->handlers);
@@ -368,6 +373,30 @@
   if (handlers.on_end) handlers.on_end(end);
 }
 
+// Closes the idle connections to `address` that have received nothing after `silent_since`, when another
+// connection to it fell silent: the network may have dropped all of them without a reset, and each would cost
+// a call its whole timeout. Connections that have answered since are kept.
+void HttpClient::CloseSuspects(const std::string& address, absl::Time silent_since) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return;
+  std::deque<ConnectionPtr>& idle = found->second;
+  const std::size_t before = idle.size();
+  std::erase_if(idle, [silent_since](const ConnectionPtr& it) {
+    if (it->last_received > silent_since) return false;
+    it->Close();
+    return true;
+  });
+  const std::size_t closed = before - idle.size();
+  if (closed == 0) return;
+  AddCounter(GlobalMetrics(), "idle_connections_closed", "suspected_silent",
+             static_cast<std::int64_t>(closed));
+  LogEventLine(LogLevel::kInfo, LogEvent::kIdleConnectionsClosed,
+               {{"address", address},
+                {"closed", closed},
+                {"kept", idle.size()},
+                {"silent_ms", absl::ToInt64Milliseconds(loop_.Now() - silent_since)}});
+}
+
 void HttpClient::LogUnanswered(const Connection& connection) const {
   const auto idle = idle_.find(connection.address);
   const absl::Time now = loop_.Now();
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -20,6 +20,9 @@
   absl::Duration connect_timeout = absl::Milliseconds(150);  // links have a latency of a few milliseconds
   absl::Duration max_idle = absl::Seconds(30);  // of an idle connection, unless the upstream states less
   int max_idle_per_address = 64;                // idle connections
+  // A cancelled call that received nothing for this long makes the idle connections to its address suspect,
+  // as a timeout does. An engine with a queue may stay silent for half a second.
+  absl::Duration suspect_after = absl::Seconds(1);
   // Limit for the bytes of one response outside its body (interim responses, head, chunk headers and
   // extensions, trailers): this value plus the bytes of the body.
   std::size_t max_framing_bytes = 64 << 10;
@@ -73,6 +76,7 @@
   bool CheckSizeLimits(const ConnectionPtr& connection, std::size_t body_bytes);
   void AbortLargest();
   void Finish(const ConnectionPtr& connection, CallEnd end);
+  void CloseSuspects(const std::string& address, absl::Time silent_since);
   void LogUnanswered(const Connection& connection) const;
   void KeepIdle(const ConnectionPtr& connection);
   void ScheduleTimeoutCheck(const ConnectionPtr& connection);
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -100,6 +100,24 @@
     loop.Context().restart();
     loop.Run();
   }
+  // Runs the loop until the condition holds or the test has hung.
+  void RunUntil(const std::function<bool()>& condition) {
+    loop.Context().restart();
+    while (!condition() && !loop.Context().stopped()) loop.Context().run_one();
+  }
+  // Makes `n` calls at the same time, so that as many connections are idle afterwards.
+  void OpenIdleConnections(const std::string& address, int n) {
+    int complete = 0;
+    for (int it = 0; it < n; ++it) {
+      HttpCall call;
+      call.address = address;
+      call.request = {"GET", "/x", {{"Host", "h"}}, ""};
+      client.StartBuffered(std::move(call), [&complete](CallEnd end, int, const std::string&) {
+        complete += end == CallEnd::kComplete ? 1 : 0;
+      });
+    }
+    RunUntil([&complete, n] { return complete == n; });
+  }
   EventLoop loop;
   static HttpClientLimits Limits() {
     HttpClientLimits limits;
@@ -296,6 +314,77 @@
   EXPECT_EQ(client.Counts().connections, 1);
 }
 
+// Answers one request on each connection; after that, the connection is silent but not closed.
+struct OneAnswerServer : RawServer {
+  OneAnswerServer()
+      : RawServer([this](tcp::socket& socket) {
+          ReadHead(socket);
+          WriteText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+          silent.push_back(std::move(socket));
+        }) {}
+  std::vector<tcp::socket> silent;
+};
+
+// Guards against a client that stays cut off from a peer that answers: when all its idle connections had
+// fallen silent, it tried them one after the other, each for a whole timeout.
+TEST_F(ServingHttpTest, ATimeoutClosesTheOtherConnectionsThatMayBeSilent) {
+  OneAnswerServer server;
+  OpenIdleConnections(server.Address(), 6);
+  const std::shared_ptr<Result> lost = Call(server.Address(), "", absl::Milliseconds(100));
+  Run();
+  EXPECT_EQ(lost->end, CallEnd::kTimedOut);
+  const std::shared_ptr<Result> next = Call(server.Address(), "", absl::Milliseconds(500));
+  Run();
+  EXPECT_EQ(next->end, CallEnd::kComplete);
+  EXPECT_EQ(server.accepted, 7);
+}
+
+// Guards against the same for calls that their sender cancels because they are silent, such as runs of items.
+TEST_F(ServingHttpTest, CancellingASilentCallClosesTheOtherConnectionsThatMayBeSilent) {
+  OneAnswerServer server;
+  OpenIdleConnections(server.Address(), 6);
+  HttpCall call;
+  call.address = server.Address();
+  call.request = {"GET", "/x", {{"Host", "h"}}, ""};
+  const CallId silent = client.Start(std::move(call), {});
+  bool cancelled = false;
+  loop.After(Limits().suspect_after, [this, silent, &cancelled] {
+    client.Cancel(silent);
+    cancelled = true;
+  });
+  RunUntil([&cancelled] { return cancelled; });
+  const std::shared_ptr<Result> next = Call(server.Address(), "", absl::Milliseconds(500));
+  Run();
+  EXPECT_EQ(next->end, CallEnd::kComplete);
+}
+
+// Guards against needless new connections: one that has answered since another fell silent is still good.
+TEST_F(ServingHttpTest, ATimeoutKeepsConnectionsThatHaveAnsweredSince) {
+  HttpServer* running = nullptr;
+  std::vector<ExchangeId> held;
+  HttpServer server(loop, [&running, &held](ExchangeId id, const HttpRequest& request) {
+    if (request.body == "hold") {
+      held.push_back(id);
+    } else {
+      running->Respond(id, {200, "", {}, ""});
+    }
+  });
+  running = &server;
+  ASSERT_TRUE(server.Listen("127.0.0.1:21872"));
+  OpenIdleConnections("127.0.0.1:21872", 2);
+  const std::shared_ptr<Result> lost = Call("127.0.0.1:21872", "hold", absl::Milliseconds(200), false);
+  RunUntil([&held] { return !held.empty(); });
+  const std::shared_ptr<Result> meanwhile = Call("127.0.0.1:21872");
+  Run();
+  EXPECT_EQ(meanwhile->end, CallEnd::kComplete);
+  RunUntil([&lost] { return lost->end.has_value(); });
+  EXPECT_EQ(lost->end, CallEnd::kTimedOut);
+  const std::shared_ptr<Result> next = Call("127.0.0.1:21872");
+  Run();
+  EXPECT_EQ(next->end, CallEnd::kComplete);
+  EXPECT_EQ(client.Counts().connections, 2);
+}
+
 // Guards against reading or handling requests that exceed the limits.
 TEST_F(ServingHttpTest, TheServerRefusesTooLargeAndMalformedRequests) {
   int handled = 0;
