Repeat a run that fell silent over a new connection

A timeout now closes the idle connections to its own engine only, but the next run goes to another engine, whose idle connections are as silent: 2.5 s for each engine.

Fix: the run that follows a silent one opens its connection, so a silence costs an item one timeout.

Test: ARunThatFellSilentIsRepeatedOverANewConnection failed without the change (an idle connection was allowed) and passes with it.

--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -35,7 +35,8 @@
   bool has_partial_row = false;
   int failures = 0;  // runs for which the engine reported a failure
   absl::Time not_before = absl::InfinitePast();
-  std::string avoided;  // upstream of the last failure
+  std::string avoided;     // upstream of the last failure
+  bool reconnect = false;  // the last run fell silent, so the next one does not use an idle connection
   // The run in progress.
   std::uint64_t run = 0;
   CallId call = 0;
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -457,6 +457,7 @@
   call.body = item.spec.body;
   if (item.events > 0) call.resume_after = item.last_event;
   call.silence_timeout = settings_.silence_limit;
+  call.fresh_connection = std::exchange(item.reconnect, false);
   call.max_body_bytes = kMaxTextBytes;
   CallHandlers handlers;
   handlers.on_head = [this, id, index, run](const AnswerHead& head) { OnRunHead(id, index, run, head); };
@@ -635,6 +636,7 @@
       ObserveFailure(*upstream, now);
     }
     Requeue(job, *item, absl::ZeroDuration(), NameOf(end));
+    item->reconnect = end == CallEnd::kTimedOut;
   }
   Dispatch();
 }
@@ -805,6 +807,7 @@
     if (now - std::max(it.last_progress, it.head_at) >= settings_.silence_limit) {
       if (UpstreamState* const silent = directory_.Find(it.upstream)) ObserveFailure(*silent, now);
       Requeue(job, it, absl::ZeroDuration(), "no_event");
+      it.reconnect = true;
       moved = true;
       continue;
     }
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -297,6 +297,23 @@
   ExpectCompleteResults(ReadNow(host, kJob).second, 6);
 }
 
+// Guards against an item that waits for one silent connection after the other: when all idle connections of
+// its host to engines had fallen silent, its last item was at no engine for 19 s.
+TEST_F(BatchServiceTest, ARunThatFellSilentIsRepeatedOverANewConnection) {
+  TestHost& host = AddHost("h1");
+  for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.silent = true;
+  ASSERT_EQ(SubmitNow(host, MakeJob(kJob, 1)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(1));
+  for (std::pair<const std::string, FakeEngine>& it : engines.engines) it.second.silent = false;
+  loop.RunFor(absl::Seconds(3));
+  ASSERT_EQ(RunsOf("item0"), 1);
+  EXPECT_TRUE(engines.runs.back().new_connection);
+  ASSERT_EQ(SubmitNow(host, MakeJob("job2", 1)), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(1));
+  ASSERT_EQ(RunsOf("item0"), 2);
+  EXPECT_FALSE(engines.runs.back().new_connection);
+}
+
 // Guards against a step that waits for its last items because they run on an engine that is always slower
 // than the others.
 TEST_F(BatchServiceTest, LongRunsLeaveAnEngineThatIsAlwaysSlower) {
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -301,7 +301,13 @@
       End(id, CallEnd::kComplete);
       return;
     }
-    engines_.runs.push_back({loop_.Now(), call.engine, request, call.request.resume_after.value_or(0)});
+    if (engine.extra_answer) {
+      SendHead(id, *std::exchange(engine.extra_answer, std::nullopt));
+      End(id, CallEnd::kComplete);
+      return;
+    }
+    engines_.runs.push_back({loop_.Now(), call.engine, request, call.request.resume_after.value_or(0),
+                             call.request.fresh_connection});
     const std::int64_t resumed_after = call.request.resume_after.value_or(0);
     if (resumed_after > 0 &&
         engines_.event_software[request][static_cast<int>(resumed_after)] != engine.entry.software)
