Ignore failures of a run that answer another request

Cause: OnRunHead returned before it compared the id of an answer for every status but 200, and OnRunEnd then acted on the status. An extra 422 abandoned the item that waited on the connection, and an extra 500 counted as a failure of it. Lookups and scoring calls compare the id for every status, but took a failure without an id as their own.

Fix: one function, IsAnswerTo, decides for runs, lookups and scoring calls, before anything else of the head is used, its load included. Only a statement that nothing was run may come without an id.

--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -514,15 +514,14 @@
   item->head = head;
   item->head_at = now;
   UpstreamState* const upstream = directory_.Find(item->upstream);
-  const bool own = head.request_id.empty() || head.request_id == item->spec.id;
-  if (upstream != nullptr && own) ObserveHead(*upstream, head, job.submission.model, item->started, now);
-  if (head.status != 200) return;
-  if (!own) {
+  if (!IsAnswerTo(head, item->spec.id)) {
     if (upstream != nullptr) ObserveFailure(*upstream, now);
     Requeue(job, *item, absl::ZeroDuration(), "foreign_answer");
     Dispatch();
     return;
   }
+  if (upstream != nullptr) ObserveHead(*upstream, head, job.submission.model, item->started, now);
+  if (head.status != 200) return;
   item->version = head.weights.value_or(0);
   if (item->version < job.submission.min_version) {
     if (upstream != nullptr && !head.weights) upstream->avoid_until = now + kMisdirectedPause;
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -120,10 +120,13 @@
   return "";
 }
 
+bool IsAnswerTo(const AnswerHead& head, std::string_view request_id) {
+  return head.request_id.empty() ? head.not_run : head.request_id == request_id;
+}
+
 AttemptVerdict ClassifyAttempt(CallEnd end, const AnswerHead& head, std::string_view request_id) {
   const bool success = head.status >= 200 && head.status < 300;
-  const bool foreign = head.request_id.empty() ? success : head.request_id != request_id;
-  if (end != CallEnd::kComplete || foreign || (success && head.signature.empty()))
+  if (end != CallEnd::kComplete || !IsAnswerTo(head, request_id) || (success && head.signature.empty()))
     return AttemptVerdict::kNoAnswer;
   if (head.not_run || head.status == kMisdirectedRequest) return AttemptVerdict::kNotRun;
   return head.status < 500 ? AttemptVerdict::kAnswered : AttemptVerdict::kFailed;
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -24,6 +24,9 @@
   kNoAnswer,  // no usable answer: broken, timed out, for another request, or a success without signature
 };
 std::string_view NameOf(AttemptVerdict verdict);
+// True if the answer is to the request with this id. Upstreams echo the id, and an extra answer to another
+// request may arrive in place of the expected one. Only a statement that nothing was run may come without id.
+bool IsAnswerTo(const AnswerHead& head, std::string_view request_id);
 AttemptVerdict ClassifyAttempt(CallEnd end, const AnswerHead& head, std::string_view request_id);
 
 // Chooses one of the route's services by weight. The choice depends only on `id`, so that a retry goes to the
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -275,6 +275,26 @@
   EXPECT_EQ(RunsOf("item1"), 1);
 }
 
+// Guards against giving up an item, or counting a failure of it, because of an extra answer to another
+// request that arrives where the item's own answer is due.
+TEST_F(BatchServiceTest, AnAnswerToAnotherRequestDecidesNothing) {
+  for (const int status : {422, 500}) {
+    engines.runs.clear();
+    TestHost& host = AddHost(absl::StrCat("h", status));
+    AnswerHead extra;
+    extra.status = status;
+    extra.request_id = "another";
+    for (std::pair<const std::string, FakeEngine>& it : engines.engines)
+      it.second.extra_answers.assign(3, extra);  // a route allows three failures
+    const std::string job = absl::StrCat("job", status);
+    ASSERT_EQ(SubmitNow(host, MakeJob(job, 1)), BatchOutcome::kAccepted);
+    loop.RunFor(absl::Seconds(10));
+    const BatchPage page = ReadNow(host, job).second;
+    ASSERT_EQ(page.results.size(), 1u);
+    EXPECT_EQ(page.results[0].state, ItemState::kCompleted) << status;
+  }
+}
+
 // Guards against missing or duplicate events when a stream breaks in the middle of an event.
 TEST_F(BatchServiceTest, ABrokenStreamResumesAfterItsLastCompleteEvent) {
   TestHost& host = AddHost("h1");
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -301,8 +301,10 @@
       End(id, CallEnd::kComplete);
       return;
     }
-    if (engine.extra_answer) {
-      SendHead(id, *std::exchange(engine.extra_answer, std::nullopt));
+    if (!engine.extra_answers.empty()) {
+      const AnswerHead extra = std::move(engine.extra_answers.front());
+      engine.extra_answers.pop_front();
+      SendHead(id, extra);
       End(id, CallEnd::kComplete);
       return;
     }
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -89,13 +89,13 @@
   absl::Time loading_until = absl::InfinitePast();
   std::string loading_model;
   int running = 0;
-  std::optional<double> request_limit;     // requests/s that its answers state; it does not enforce them
-  bool silent = false;                     // sends no response heads and no events
-  bool sends_comments = false;             // sends stream comments instead of events
-  bool delays_orders = false;              // orders get no reply and go to FakeEngines::delayed_orders
-  int fail_next = 0;                       // number of next requests to answer with 500
-  int break_after_events = 0;              // breaks the next run after this many events; 0: never
-  std::optional<AnswerHead> extra_answer;  // sent in place of the next answer, such as one to another request
+  std::optional<double> request_limit;   // requests/s that its answers state; it does not enforce them
+  bool silent = false;                   // sends no response heads and no events
+  bool sends_comments = false;           // sends stream comments instead of events
+  bool delays_orders = false;            // orders get no reply and go to FakeEngines::delayed_orders
+  int fail_next = 0;                     // number of next requests to answer with 500
+  int break_after_events = 0;            // breaks the next run after this many events; 0: never
+  std::deque<AnswerHead> extra_answers;  // sent in place of the next answers, such as one to another request
 };
 
 struct OrderRecord {
