Check the size of unparsed bytes before they reach the parser

Cause: the limit for the bytes outside a body was checked after the parser had taken a read. A read that completes a field of 64 KB or more (a head, or a trailer, which Beast's own header limit does not cover) made Beast store it, and its field lengths have 16 bits.

Fix: bytes that the parser cannot consume stay in the read buffer, so a buffer above 64 KB ends the call as too large before the parser sees it. Bodies leave the buffer with each read and are not concerned.

Test: AHugeFieldOfAnAnswerEndsItsCallOnly (value, name, trailer) failed with std::length_error before and passes now.

--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -26,7 +26,10 @@
 
 constexpr std::string_view kTimeoutParameter = "timeout=";  // of the Keep-Alive header
 constexpr std::size_t kReadBytes = 8 << 10;  // for one read; Beast's default of 512 bytes splits each event
-constexpr int kSwitchingProtocols = 101;     // status code; this client never requests an upgrade
+// Received bytes that the parser cannot consume yet: an incomplete head, chunk header or trailer. Beast
+// throws std::length_error when it stores a field of 64 KB, so such bytes must never reach it.
+constexpr std::size_t kMaxUnparsedBytes = 64 << 10;
+constexpr int kSwitchingProtocols = 101;  // status code; this client never requests an upgrade
 // An idle connection is dropped this long before the idle timeout that the peer states.
 constexpr absl::Duration kKeepAliveMargin = absl::Milliseconds(500);
 
@@ -64,7 +67,7 @@
   bool head_reported = false;
   bool head_request = false;  // a HEAD request: the response has no body
   std::size_t max_body_bytes = 0;
-  bool over_limit = false;         // the parser found more than `max_body_bytes`
+  bool over_limit = false;         // more than `max_body_bytes`, or than kMaxUnparsedBytes
   std::size_t received_bytes = 0;  // of the response, framing included
   std::size_t body_bytes = 0;      // of the response, decoded
   absl::Duration connect_timeout;
@@ -265,6 +268,8 @@
     return !ec && parser.is_done();
   }
   if (received) return false;
+  connection.over_limit = connection.buffer.size() > kMaxUnparsedBytes;
+  if (connection.over_limit) return false;
   while (connection.buffer.size() > 0 && !connection.parser->is_done()) {
     const std::size_t used = connection.parser->put(connection.buffer.data(), ec);
     connection.buffer.consume(used);
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -202,6 +202,25 @@
   }
 }
 
+// Guards against the end of the process: Beast throws when it stores a field of 64 KB or more, and a read may
+// complete such a field before any limit is checked.
+TEST_F(ServingHttpTest, AHugeFieldOfAnAnswerEndsItsCallOnly) {
+  const std::string line = std::string(72000, 'a') + "\r\n";
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& answer :
+       {"HTTP/1.1 200 OK\r\nX: " + line + "Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + std::string(72000, 'n') + ": x\r\nContent-Length: 0\r\n\r\n",
+        chunked + "0\r\nX: " + line + "\r\n"}) {
+    RawServer server([&answer](tcp::socket& socket) {
+      ReadHead(socket);
+      WriteText(socket, answer);
+    });
+    const std::shared_ptr<Result> result = Call(server.Address());
+    Run();
+    EXPECT_EQ(result->end, CallEnd::kTooLarge) << answer.substr(0, 60);
+  }
+}
+
 // Guards against answers that are each within their limit but together exceed the host's memory.
 TEST_F(ServingHttpTest, TheLargestAnswerIsAbortedAtTheLimitOfAllAnswers) {
   std::atomic<bool> done{false};
@@ -370,16 +389,16 @@
     }
   });
   running = &server;
-  ASSERT_TRUE(server.Listen("127.0.0.1:21872"));
-  OpenIdleConnections("127.0.0.1:21872", 2);
-  const std::shared_ptr<Result> lost = Call("127.0.0.1:21872", "hold", absl::Milliseconds(200), false);
+  ASSERT_TRUE(server.Listen("127.0.0.1:21877"));
+  OpenIdleConnections("127.0.0.1:21877", 2);
+  const std::shared_ptr<Result> lost = Call("127.0.0.1:21877", "hold", absl::Milliseconds(200), false);
   RunUntil([&held] { return !held.empty(); });
-  const std::shared_ptr<Result> meanwhile = Call("127.0.0.1:21872");
+  const std::shared_ptr<Result> meanwhile = Call("127.0.0.1:21877");
   Run();
   EXPECT_EQ(meanwhile->end, CallEnd::kComplete);
   RunUntil([&lost] { return lost->end.has_value(); });
   EXPECT_EQ(lost->end, CallEnd::kTimedOut);
-  const std::shared_ptr<Result> next = Call("127.0.0.1:21872");
+  const std::shared_ptr<Result> next = Call("127.0.0.1:21877");
   Run();
   EXPECT_EQ(next->end, CallEnd::kComplete);
   EXPECT_EQ(client.Counts().connections, 2);
