Refuse a request whose head or trailer does not fit in the read buffer

A chunked request with a trailer line of 72,000 bytes ended the process of the host.

Fix: the read buffer of a connection holds at most 64 KB. A head or trailer that does not fit is answered with 431; bodies leave the buffer as they arrive. A configured header limit above 64 KB has the effect of 64 KB.

Test: AHugeFieldOfARequestEndsItsConnectionOnly (head with a limit of 1 MB, trailer) ended the test process before and passes now.

--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -18,13 +18,18 @@
 
 namespace {
 constexpr std::size_t kReadBytes = 4 << 10;  // initial size of the read buffer
+// Beast throws std::length_error when it stores a field of 64 KB, so no larger head or trailer may reach its
+// parser. Complete parts of a body leave the buffer at once.
+constexpr std::size_t kMaxUnparsedBytes = 64 << 10;
 constexpr int kListenBacklog = 1024;
 // After a failed accept, for example when the process has no free file descriptors.
 constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(50);
 }  // namespace
 
 struct HttpServer::Connection {
-  explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) { buffer.reserve(kReadBytes); }
+  explicit Connection(tcp::socket accepted) : socket(std::move(accepted)), buffer(kMaxUnparsedBytes) {
+    buffer.reserve(kReadBytes);
+  }
 
   std::uint64_t id = 0;
   tcp::socket socket;
@@ -104,7 +109,7 @@
   if (ec) {
     if (ec == http::error::body_limit) {
       WriteResponse(connection, {413, "", {}, ""}, true);
-    } else if (ec == http::error::header_limit) {
+    } else if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
       WriteResponse(connection, {431, "", {}, ""}, true);
     } else if (ec.category() == make_error_code(http::error::bad_method).category() &&
                ec != http::error::end_of_stream && ec != http::error::partial_message) {
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -440,6 +440,36 @@
   EXPECT_EQ(handled, 0);
 }
 
+// Guards against the end of the process: Beast throws when it stores a field of 64 KB or more, whatever the
+// configured header limit, and that limit does not cover trailers.
+TEST_F(ServingHttpTest, AHugeFieldOfARequestEndsItsConnectionOnly) {
+  int handled = 0;
+  HttpServer server(loop, [&handled](ExchangeId, const HttpRequest&) { ++handled; });
+  CallerLimits limits;
+  limits.max_header_bytes = 1 << 20;
+  server.SetLimits(limits);
+  ASSERT_TRUE(server.Listen("127.0.0.1:21878"));
+  const std::string line = "X: " + std::string(72000, 'x') + "\r\n\r\n";
+  std::vector<std::string> answers;
+  std::thread callers([this, &line, &answers] {
+    for (const std::string start :
+         {"GET / HTTP/1.1\r\nHost: h\r\n",
+          "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"}) {
+      asio::io_context context;
+      tcp::socket socket(context);
+      boost::system::error_code ec;
+      socket.connect({asio::ip::make_address("127.0.0.1"), 21878}, ec);
+      WriteText(socket, start + line);
+      answers.push_back(ReadHead(socket));
+    }
+    loop.Stop();
+  });
+  Run();
+  callers.join();
+  for (const std::string& it : answers) EXPECT_NE(it.find("HTTP/1.1 431"), std::string::npos) << it;
+  EXPECT_EQ(handled, 0);
+}
+
 // Guards against work that continues after its caller has closed the connection.
 TEST_F(ServingHttpTest, ACallerThatDisconnectsIsNoticed) {
   HttpServer* running = nullptr;
