Refuse batch jobs with items that cannot be sent as requests

A line break in a header, an id or a path put a second request into the first.

Fix: a submission with such an item, scoring call included, is refused as invalid (400). The bound for one header is 60,000 bytes.

Test: RefusesItemsThatCannotBeSentAsRequests failed for all ten kinds without the check (accepted) and passes with it; it also shows that long, quoted and non-ASCII parts are still accepted.

--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -55,6 +55,13 @@
 void RemoveHeader(Headers& headers, std::string_view name);
 // True for hop-by-hop fields (RFC 9110, 7.6.1), and for Content-Length, which each sender sets itself.
 bool IsConnectionHeader(std::string_view name);
+// True if the field can be sent: its name is a token (RFC 9110, 5.6.2), its value has no control character
+// other than a tab, and both together have at most kMaxFieldBytes.
+bool IsSendableField(std::string_view name, std::string_view value);
+inline constexpr std::size_t kMaxFieldBytes = 60000;  // Boost.Beast throws on fields of 64 KB
+// True if a request with this target can be sent: it begins with a slash and has no space or control
+// character, which would end the request line.
+bool IsSendableTarget(std::string_view target);
 
 struct HttpRequest {
   std::string method;  //
@@ -332,7 +339,8 @@
   kAccepted,
   kNotFound,          // no such job or item
   kNoRoute,           //
-  kInvalid,           // malformed submission, or one without id or items, or with a repeated item id
+  kInvalid,           // malformed submission, or one without id or items, or with a repeated item id, or
+                      // with an item that cannot be sent as a request
   kNotRun,            // refused; no part of the job runs
   kStoreUnreachable,  // the store does not answer this host; a read may be retried at another host
   kOutcomeUnknown,    // the job may have been accepted
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -18,6 +18,18 @@
 constexpr absl::Duration kHandOverTimeout = absl::Milliseconds(1500);
 constexpr int kMaxEndTries = 6;
 
+// The parts of an item that become parts of requests come from the body of a submission, so no HTTP parser
+// has checked them.
+bool IsSendable(const BatchItem& item) {
+  const auto sendable = [](std::string_view id, std::string_view target) {
+    return IsSendableField("id", id) && IsSendableTarget(target);
+  };
+  return sendable(item.id, item.target) &&
+         (!item.scoring || sendable(item.scoring->id, item.scoring->target)) &&
+         std::all_of(item.headers.begin(), item.headers.end(),
+                     [](const HeaderField& it) { return IsSendableField(it.name, it.value); });
+}
+
 }  // namespace
 
 struct BatchService::SubmitOp {
@@ -82,7 +94,8 @@
   }
   std::set<std::string> ids;
   for (const BatchItem& it : submission.items) ids.insert(it.id);
-  if (submission.id.empty() || submission.items.empty() || ids.size() != submission.items.size()) {
+  if (submission.id.empty() || submission.items.empty() || ids.size() != submission.items.size() ||
+      !std::all_of(submission.items.begin(), submission.items.end(), IsSendable)) {
     done(BatchOutcome::kInvalid);
     return;
   }
--- a/src/serving/http_messages.cc
+++ b/src/serving/http_messages.cc
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/address.hpp>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "oleander/serving.h"
 #include "serving/http_address.h"
 #include "serving/text.h"
@@ -50,6 +52,24 @@
   return false;
 }
 
+bool IsSendableField(std::string_view name, std::string_view value) {
+  constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
+  const bool token = !name.empty() && std::all_of(name.begin(), name.end(), [kTokenMarks](char it) {
+    return absl::ascii_isalnum(static_cast<unsigned char>(it)) ||
+           kTokenMarks.find(it) != std::string_view::npos;
+  });
+  const bool text = std::none_of(value.begin(), value.end(), [](char it) {
+    return it != '\t' && absl::ascii_iscntrl(static_cast<unsigned char>(it));
+  });
+  return token && text && name.size() + value.size() <= kMaxFieldBytes;
+}
+
+bool IsSendableTarget(std::string_view target) {
+  return target.starts_with('/') && std::none_of(target.begin(), target.end(), [](char it) {
+           return it == ' ' || absl::ascii_iscntrl(static_cast<unsigned char>(it));
+         });
+}
+
 std::optional<boost::asio::ip::tcp::endpoint> ParseAddress(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) return std::nullopt;
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -623,6 +623,50 @@
   EXPECT_TRUE(store.objects.empty());
 }
 
+// Guards against items that end the process of each host that sends them (a field of 64 KB), or that smuggle
+// a second request into the first (a line break).
+TEST_F(BatchServiceTest, RefusesItemsThatCannotBeSentAsRequests) {
+  TestHost& host = AddHost("h1");
+  const std::string break_off = "x HTTP/1.1\r\nHost: h\r\n\r\nGET /";
+  const std::vector<std::function<void(BatchItem&)>> changes = {
+      [](BatchItem& it) {
+        it.headers.push_back({"X", std::string(66000, 'x')});
+      },
+      [](BatchItem& it) {
+        it.headers.push_back({std::string(66000, 'x'), "x"});
+      },
+      [](BatchItem& it) {
+        it.headers.push_back({"X", "a\r\nHost: other"});
+      },
+      [](BatchItem& it) {
+        it.headers.push_back({"X: a\r\nY", "b"});
+      },
+      [](BatchItem& it) {
+        it.headers.push_back({"", "b"});
+      },
+      [](BatchItem& it) { it.id = "a\nb"; },
+      [&](BatchItem& it) { it.target = "/r/" + break_off; },
+      [](BatchItem& it) { it.target = "r"; },
+      [&](BatchItem& it) {
+        it.scoring = ScoringRequest{"s", "app.example", "/l/" + break_off, ""};
+      },
+      [](BatchItem& it) {
+        it.scoring = ScoringRequest{"s\r\n", "app.example", "/l/x", ""};
+      },
+  };
+  for (std::size_t it = 0; it < changes.size(); ++it) {
+    BatchSubmission job = MakeJob(absl::StrCat("job", it), 2);
+    changes[it](job.items[1]);
+    EXPECT_EQ(SubmitNow(host, job), BatchOutcome::kInvalid) << it;
+  }
+  loop.RunFor(absl::Seconds(1));
+  EXPECT_TRUE(engines.runs.empty());
+  BatchSubmission usual = MakeJob(kJob, 2);
+  usual.items[1].headers.push_back({"X-Note", "caf\xc3\xa9,\ttab " + std::string(50000, 'x')});
+  usual.items[1].target = "/r/a%20b?q=1;2&x=[3]";
+  EXPECT_EQ(SubmitNow(host, usual), BatchOutcome::kAccepted);
+}
+
 TEST_F(BatchServiceTest, RefusesInvalidSubmissions) {
   TestHost& host = AddHost("h1");
   BatchSubmission twice = MakeJob(kJob, 2);
