Refuse answers to other requests on every connection to an upstream

Test: AnAnswerToAnotherRequestIsNoAnswer failed without the check (report and load known, order taken as holding) and passes with it.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -54,6 +54,7 @@
   kPermitsGranted = 219,
   kCallUnanswered = 220,
   kIdleConnectionsClosed = 221,
+  kForeignAnswer = 222,
   kFeedRestarted = 402,
   kStoreAnswerUnexpected = 403,
   kRecordUnreadable = 404,
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 71> kEventNames = {{
+constexpr std::array<EventName, 72> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -69,6 +69,7 @@
     {LogEvent::kPermitsGranted, "permits_granted"},
     {LogEvent::kCallUnanswered, "call_unanswered"},
     {LogEvent::kIdleConnectionsClosed, "idle_connections_closed"},
+    {LogEvent::kForeignAnswer, "foreign_answer"},
     {LogEvent::kFeedRestarted, "feed_restarted"},
     {LogEvent::kStoreAnswerUnexpected, "store_answer_unexpected"},
     {LogEvent::kRecordUnreadable, "record_unreadable"},
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -146,13 +146,15 @@
   return id;
 }
 
-CallId HttpClient::StartBuffered(HttpCall call, std::function<void(CallEnd, int, const std::string&)> done) {
+CallId HttpClient::StartBuffered(HttpCall call, std::function<void(CallEnd, int, const std::string&)> done,
+                                 std::function<bool(const HttpResponse&)> accepts) {
   struct Answer {
     int status = 0;
     std::string body;
   };
   const std::shared_ptr<Answer> answer = std::make_shared<Answer>();
   HttpCallHandlers handlers;
+  handlers.accepts = std::move(accepts);
   handlers.on_head = [answer](const HttpResponse& head) { answer->status = head.status; };
   handlers.on_body = [answer](std::string_view piece) { answer->body.append(piece); };
   handlers.on_end = [answer, done = std::move(done)](CallEnd end) {
@@ -330,6 +332,10 @@
         loop_.Now() + std::min(limits_.max_idle, ParseKeepAliveTimeout(FindHeader(head.headers, "Keep-Alive"),
                                                                        limits_.max_idle + kKeepAliveMargin) -
                                                      kKeepAliveMargin);
+    if (connection->handlers.accepts && !connection->handlers.accepts(head)) {
+      Finish(connection, CallEnd::kBroken);
+      return;
+    }
     if (connection->handlers.on_head) connection->handlers.on_head(head);
     if (connection->call != id) return;
   }
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -40,6 +40,9 @@
   std::size_t max_body_bytes = 32 << 20;  // of the response; a larger one ends the call with kTooLarge
 };
 struct HttpCallHandlers {
+  // Empty: all. If it returns false, the response belongs to another request: the call ends with kBroken,
+  // without any other handler, and its connection is closed, because its own response may still follow there.
+  std::function<bool(const HttpResponse&)> accepts;
   std::function<void(const HttpResponse&)> on_head;  // status and headers; no body
   std::function<void(std::string_view)> on_body;     // decoded parts, in order
   std::function<void(CallEnd)> on_end;               // exactly once, unless cancelled
@@ -57,7 +60,8 @@
   ~HttpClient();
   CallId Start(HttpCall call, HttpCallHandlers handlers);
   // Like Start, but buffers the response: `done` gets the call's end, the status (0: no head) and the body.
-  CallId StartBuffered(HttpCall call, std::function<void(CallEnd, int, const std::string&)> done);
+  CallId StartBuffered(HttpCall call, std::function<void(CallEnd, int, const std::string&)> done,
+                       std::function<bool(const HttpResponse&)> accepts = nullptr);
   void Cancel(CallId id);
   // Closes connections whose idle timeout has passed.
   void CloseIdle();
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -304,6 +304,53 @@
   for (const std::pair<const std::string, std::string>& it : named) EXPECT_EQ(it.second, "i-7") << it.first;
 }
 
+// Guards against taking an engine's extra answer to another request, which may arrive on any kept connection,
+// for a report, a load, the outcome of an order, or the answer to the request that is due there. The
+// connection is closed, because the own answer would be taken for that to the next request.
+TEST(EngineLink, AnAnswerToAnotherRequestIsNoAnswer) {
+  serving::EventLoop loop;
+  loop.After(absl::Seconds(10), [&loop] { loop.Stop(); });
+  serving::HttpClient http(loop, {});
+  EngineLink link(http);
+  serving::HttpServer* running = nullptr;
+  serving::HttpServer server(loop, [&](serving::ExchangeId id, const serving::HttpRequest&) {
+    const std::string report = R"({"models":[{"name":"m","version":3}],"sequence":2})";
+    running->Respond(id, {200, "", {{"Request-Id", "earlier"}, {"Server-Load", "1,0,8"}}, report});
+  });
+  running = &server;
+  ASSERT_TRUE(server.Listen("127.0.0.1:21879"));
+  serving::UpstreamEntry upstream;
+  upstream.id = "i-7";
+  upstream.address = "127.0.0.1:21879";
+  std::vector<std::string> seen;
+  const std::function<void(const std::string&)> note = [&](const std::string& what) {
+    seen.push_back(what);
+    if (seen.size() == 4) loop.Stop();
+  };
+  link.FetchReport(upstream, [&](const serving::EngineReport& report) {
+    note(report.known ? "report known" : "report unknown");
+    link.FetchLoad(upstream, "/health", [&](const std::optional<serving::AnswerHead>& head) {
+      note(head ? "load known" : "load unknown");
+      link.SendOrder(upstream, {}, [&](serving::OrderOutcome outcome) {
+        note(std::string(NameOf(outcome)));
+        serving::UpstreamCall call;
+        call.address = upstream.address;
+        call.request_id = "due";
+        call.method = "POST";
+        call.target = "/run";
+        serving::CallHandlers handlers;
+        handlers.on_head = [&](const serving::AnswerHead&) { note("head"); };
+        handlers.on_end = [&](serving::CallEnd end) { note(std::string(NameOf(end))); };
+        link.Start(std::move(call), std::move(handlers));
+      });
+    });
+  });
+  loop.Run();
+  const std::vector<std::string> expected = {"report unknown", "load unknown", "unknown", "broken"};
+  EXPECT_EQ(seen, expected);
+  EXPECT_EQ(http.Counts().connections, 4);
+}
+
 // Guards against crashes on malformed input.
 TEST(Decode, MutatedBytesNeverCrash) {
   std::mt19937_64 random(20261204);
