--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -184,10 +184,11 @@
   EXPECT_EQ(back->items[0].scoring->body, job.items[0].scoring->body);
   const serving::ItemResult result = {"i1", serving::ItemState::kCompleted, "text", {6}, "stamp"};
   EXPECT_EQ(serving::DecodeResult(serving::EncodeResult(result))->score, "stamp");
-  const serving::PartialText partial = {"i1", "text", 4, 4, {6}, true, 2, "v1.1"};
+  const serving::PartialText partial = {"i1", "text", 4, 4, {6}, true, 2, "v1.1", {"e1", "e2"}};
   EXPECT_TRUE(serving::DecodePartial(serving::EncodePartial(partial))->complete);
   EXPECT_EQ(serving::DecodePartial(serving::EncodePartial(partial))->scoring_failures, 2);
   EXPECT_EQ(serving::DecodePartial(serving::EncodePartial(partial))->software, "v1.1");
+  EXPECT_EQ(serving::DecodePartial(serving::EncodePartial(partial))->sources, partial.sources);
 }
 
 // Guards against a job or result that is changed by storing it.
