--- a/src/serving/http_messages.cc
+++ b/src/serving/http_messages.cc
@@ -26,6 +26,9 @@
 constexpr std::array<std::string_view, 8> kBatchOutcomes = {
     "ok", "accepted", "not_found", "no_route", "invalid", "not_run", "unsure", "outcome_unknown"};
 
+// Allowed in the name of a field besides letters and digits (RFC 9110, 5.6.2).
+constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
+
 }  // namespace
 
 std::string_view NameOf(StoreOutcome outcome) { return kStoreOutcomes[static_cast<int>(outcome)]; }
@@ -53,8 +56,7 @@
 }
 
 bool IsSendableField(std::string_view name, std::string_view value) {
-  constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
-  const bool token = !name.empty() && std::all_of(name.begin(), name.end(), [kTokenMarks](char it) {
+  const bool token = !name.empty() && std::all_of(name.begin(), name.end(), [](char it) {
     return absl::ascii_isalnum(static_cast<unsigned char>(it)) ||
            kTokenMarks.find(it) != std::string_view::npos;
   });
