Send nothing new to upstreams that say in their answers that they leave

What users see: a leaving engine says so in all its answers (Server-Leaving: 1). Nothing read it: a host that does not reach the store, or whose list is late, went on sending to an engine that had told it that it leaves.

Change: the header is decoded once; an answer that belongs to its request and upstream, with any status, marks the start of the upstream that the request was sent to. The directory leaves a marked upstream out of its usable ones, as one that is listed as draining, so every choice obeys: first tries, retries, hedges, new, moved and resumed items, scoring calls, streams that are taken up again, requests that wait for a permit. A late row of the same start does not clear the mark, a new start does. Heads of answers from an earlier start, of another upstream (421) or of another request no longer change load, limit or weights either.

Tests: without the mark, four tests of LeavingUpstreamTest and AnEngineThatStatesItLeavesGetsNoMoreItems fail; with it all pass. The fifth of LeavingUpstreamTest bounds what counts.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -55,6 +55,7 @@
   kCallUnanswered = 220,
   kIdleConnectionsClosed = 221,
   kForeignAnswer = 222,
+  kUpstreamStatesLeaving = 223,
   kFeedRestarted = 402,
   kStoreAnswerUnexpected = 403,
   kRecordUnreadable = 404,
--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -223,7 +223,8 @@
   std::optional<std::int64_t> weights;  // version of the weights that run the request
   std::optional<ReportedLoad> load;     //
   std::optional<double>
-      request_limit;  // requests/s that the upstream accepts from all hosts; nullopt: no limit
+      request_limit;     // requests/s that the upstream accepts from all hosts; nullopt: no limit
+  bool leaving = false;  // the upstream states that it is about to leave
 };
 enum class CallEnd {
   kComplete,  // the answer was received completely
@@ -259,6 +260,7 @@
 // State that an engine reports about itself. A few hundred ms old.
 struct EngineReport {
   bool known = false;                           // false: no answer, or an unreadable one
+  bool leaving = false;                         // the engine states that it is about to leave
   bool busy = false;                            // a weights order is in progress
   std::int64_t orders_accepted = 0;             // weights orders that the engine has accepted so far
   int running = 0;                              //
--- a/src/diagnosis/explain.cc
+++ b/src/diagnosis/explain.cc
@@ -16,6 +16,7 @@
 // Store calls of a host are related to a refusal if they failed up to this long before it, or up to a third
 // of it afterwards.
 constexpr absl::Duration kStoreCallWindow = absl::Seconds(3);
+constexpr absl::Duration kLeavingWindow = absl::Seconds(30);  // a leaving upstream is gone by then
 constexpr int kMinFailedStoreCalls = 3;   // fewer may be single lost answers rather than an outage
 constexpr double kMinWaitFraction = 0.3;  // of an item's age, to name the wait for its first run as the cause
 constexpr double kMinScoringFraction = 0.3;  // of an item's age, to name its scoring as the cause
@@ -94,8 +95,19 @@
 
 // ---- Requests ---------------------------------------------------------------------------------------------
 
-std::string CauseOfRefusal(const LogLine& refusal, const std::map<std::string, int>& ends,
-                           int failed_store_calls) {
+// The upstreams whose answers had told this host, shortly before, that they leave.
+std::set<std::string> UpstreamsThatLeft(const ParsedLogs& logs, const LogLine& refusal) {
+  std::set<std::string> upstreams;
+  for (const LogLine* it : Select(logs, [&refusal](const LogLine& line) {
+         return IsEvent(line, LogEvent::kUpstreamStatesLeaving) && line.host == refusal.host &&
+                line.at <= refusal.at && refusal.at - line.at <= kLeavingWindow;
+       }))
+    upstreams.insert(TextOf(*it, "upstream"));
+  return upstreams;
+}
+
+std::string CauseOfRefusal(const ParsedLogs& logs, const LogLine& refusal,
+                           const std::map<std::string, int>& ends, int failed_store_calls) {
   const std::string error = TextOf(refusal, "error");
   if (error == "not_found")
     return absl::StrCat("no route of policy version ", TextOf(refusal, "policy"),
@@ -104,6 +116,9 @@
   std::string cause = absl::StrCat("refused as ", error, " after ", TextOf(refusal, "ms"), " ms");
   if (TextOf(refusal, "usable") == "0") {
     absl::StrAppend(&cause, ": the host had no usable upstream for the service");
+    const std::set<std::string> left = UpstreamsThatLeft(logs, refusal);
+    if (!left.empty())
+      absl::StrAppend(&cause, "; before that, ", absl::StrJoin(left, ", "), " stated that they leave");
   } else if (!ends.empty()) {
     absl::StrAppend(&cause, ": its attempts ended with ", JoinCounts(ends));
   } else {
@@ -137,7 +152,7 @@
   if (last == nullptr) {
     explanation.cause = absl::StrCat("no outcome is logged; failed attempts: ", JoinCounts(ends));
   } else if (IsEvent(*last, LogEvent::kRequestRefused)) {
-    explanation.cause = CauseOfRefusal(*last, ends, failed_store_calls);
+    explanation.cause = CauseOfRefusal(logs, *last, ends, failed_store_calls);
   } else if (IsEvent(*last, LogEvent::kCallerLeft)) {
     explanation.cause = absl::StrCat("the caller disconnected after ", TextOf(*last, "ms"), " ms and ",
                                      TextOf(*last, "attempts"), " attempts");
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 72> kEventNames = {{
+constexpr std::array<EventName, 73> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -70,6 +70,7 @@
     {LogEvent::kCallUnanswered, "call_unanswered"},
     {LogEvent::kIdleConnectionsClosed, "idle_connections_closed"},
     {LogEvent::kForeignAnswer, "foreign_answer"},
+    {LogEvent::kUpstreamStatesLeaving, "upstream_states_leaving"},
     {LogEvent::kFeedRestarted, "feed_restarted"},
     {LogEvent::kStoreAnswerUnexpected, "store_answer_unexpected"},
     {LogEvent::kRecordUnreadable, "record_unreadable"},
--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -42,7 +42,8 @@
   std::uint64_t run = 0;
   CallId call = 0;
   std::string upstream;
-  std::string run_software;  // software version of `upstream` when the run was started
+  std::string run_software;                  // software version of `upstream` when the run was started
+  std::int64_t run_upstream_started_ms = 0;  // identifies the start of `upstream` that the run was sent to
   absl::Time first_started = absl::InfiniteFuture();  // start of the first run at this host
   int runs = 0;                                       // at this host
   absl::Time stopped_at = absl::InfinitePast();       // end of the last run; or when its stored text was read
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -453,6 +453,7 @@
   item.run = run;
   item.upstream = upstream.entry.id;
   item.run_software = upstream.entry.software;
+  item.run_upstream_started_ms = upstream.entry.started_ms;
   item.started = now;
   item.first_started = std::min(item.first_started, now);
   ++item.runs;
@@ -546,7 +547,8 @@
     Dispatch();
     return;
   }
-  if (upstream != nullptr) ObserveHead(*upstream, head, job.submission.model, item->started, now);
+  directory_.ObserveAnswer(item->upstream, item->run_upstream_started_ms, head, job.submission.model,
+                           item->started, now);
   if (head.status != 200) return;
   item->version = head.weights.value_or(0);
   if (item->version < job.submission.min_version) {
@@ -778,12 +780,11 @@
   upstream.load_queried_at = now;
   const std::string id = upstream.entry.id;
   link_.FetchLoad(upstream.entry, spec.health_path,
-                  [this, id, now, done = std::move(done)](const std::optional<AnswerHead>& head) {
+                  [this, id, started_ms = upstream.entry.started_ms, now,
+                   done = std::move(done)](const std::optional<AnswerHead>& head) {
                     UpstreamState* const found = directory_.Find(id);
-                    if (found != nullptr) {
-                      found->load_query_pending = false;
-                      if (head) ObserveHead(*found, *head, "", now, loop_.Now());
-                    }
+                    if (found != nullptr) found->load_query_pending = false;
+                    if (head) directory_.ObserveAnswer(id, started_ms, *head, "", now, loop_.Now());
                     done();
                   });
   return true;
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "oleander/log_events.h"
+#include "oleander/metrics.h"
 #include "serving/text.h"
 
 namespace oleander::serving {
@@ -122,13 +123,38 @@
   if (cached != usable_.end()) return cached->second;
   std::vector<UpstreamState*>& usable = usable_[std::string(service)];
   for (std::pair<const std::string, UpstreamState>& it : upstreams_) {
-    if (it.second.registered && !it.second.entry.draining && it.second.entry.service == service) {
+    if (it.second.registered && !IsLeaving(it.second) && it.second.entry.service == service)
       usable.push_back(&it.second);
-    }
   }
   return usable;
 }
 
+void Directory::ObserveAnswer(const std::string& id, std::int64_t started_ms, const AnswerHead& head,
+                              const std::string& model, absl::Time sent_at, absl::Time now) {
+  UpstreamState* const upstream = Find(id);
+  if (upstream == nullptr || upstream->entry.started_ms != started_ms) return;
+  ObserveHead(*upstream, head, model, sent_at, now);
+  if (head.leaving) ObserveLeaving(id, started_ms, "answer", sent_at, now);
+}
+
+void Directory::ObserveLeaving(const std::string& id, std::int64_t started_ms, std::string_view source,
+                               absl::Time sent_at, absl::Time now) {
+  UpstreamState* const upstream = Find(id);
+  if (upstream == nullptr || upstream->entry.started_ms != started_ms || upstream->states_leaving) return;
+  const bool listed = upstream->entry.draining;
+  upstream->states_leaving = true;
+  OnListChanged();
+  AddCounter(GlobalMetrics(), "upstreams_leaving", listed ? "after_registration" : "before_registration");
+  LogEventLine(LogLevel::kInfo, LogEvent::kUpstreamStatesLeaving,
+               {{"upstream", id},
+                {"service", upstream->entry.service},
+                {"started_ms", started_ms},
+                {"source", source},
+                {"listed_as_draining", listed},
+                {"sent_ms", absl::ToInt64Milliseconds(now - sent_at)},
+                {"in_flight", upstream->in_flight}});
+}
+
 void Directory::RecordAnnouncedVersion(const std::string& model, std::int64_t version) {
   std::int64_t& announced = announced_versions_[model];
   announced = std::max(announced, version);
@@ -177,6 +203,8 @@
                 {"in_flight", upstream.in_flight}});
 }
 
+bool IsLeaving(const UpstreamState& upstream) { return upstream.entry.draining || upstream.states_leaving; }
+
 void ObserveHead(UpstreamState& upstream, const AnswerHead& head, const std::string& model,
                  absl::Time sent_at, absl::Time now) {
   ObserveRequestLimit(upstream, head, sent_at, now);
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -21,11 +21,12 @@
 struct UpstreamState {
   UpstreamEntry entry;     //
   bool registered = true;  // in the list of upstreams; false: removed, kept while calls are in progress
-  absl::Time removal_due = absl::InfiniteFuture();    // when a removal that is not confirmed yet takes effect
-  int in_flight = 0;                                  // calls from this host
-  int sent_since_log = 0;                             // calls started since the last line about the rate
-  int waiting_here = 0;                               // calls among `in_flight` without a response head yet
-  int failures_in_row = 0;                            // consecutive failures
+  absl::Time removal_due = absl::InfiniteFuture();  // when a removal that is not confirmed yet takes effect
+  bool states_leaving = false;  // an answer of this start of the upstream has stated that it leaves
+  int in_flight = 0;            // calls from this host
+  int sent_since_log = 0;       // calls started since the last line about the rate
+  int waiting_here = 0;         // calls among `in_flight` without a response head yet
+  int failures_in_row = 0;      // consecutive failures
   absl::Time avoid_until = absl::InfinitePast();      // set after failures and refusals
   ReportedLoad load;                                  // newest reported load
   absl::Time load_at = absl::InfinitePast();          // time of that report
@@ -72,8 +73,16 @@
   void LogRates();
 
   UpstreamState* Find(const std::string& id);
-  // Upstreams of a service that accept new work, sorted by id. The pointers are valid until Generation()
-  // changes.
+  // Records what the head of an answer says about the upstream. Ignores answers of another start of it than
+  // the one listed: `started_ms` is that of the entry when the request was sent, at `sent_at`. `model`: the
+  // one that the request was for; empty: none.
+  void ObserveAnswer(const std::string& id, std::int64_t started_ms, const AnswerHead& head,
+                     const std::string& model, absl::Time sent_at, absl::Time now);
+  // Records that this start of the upstream has stated that it leaves. `source`: "answer" or "report".
+  void ObserveLeaving(const std::string& id, std::int64_t started_ms, std::string_view source,
+                      absl::Time sent_at, absl::Time now);
+  // Upstreams of a service that accept new work, sorted by id: those that do not leave. The pointers are
+  // valid until Generation() changes.
   const std::vector<UpstreamState*>& Usable(std::string_view service);
   // Increases whenever the result of Usable changes for any service.
   std::uint64_t Generation() const { return generation_; }
@@ -104,6 +113,8 @@
 
 // ---- Observations -----------------------------------------------------------------------------------------
 
+// True if the upstream's registration or one of its answers says that it leaves.
+bool IsLeaving(const UpstreamState& upstream);
 // `sent_at`: when the answered request was sent.
 void ObserveHead(UpstreamState& upstream, const AnswerHead& head, const std::string& model,
                  absl::Time sent_at, absl::Time now);
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -21,11 +21,12 @@
 }  // namespace
 
 struct Frontend::Attempt {
-  std::string upstream;  // id
-  absl::Time started;    //
-  AnswerHead head;       //
-  std::string body;      //
-  std::string software;  // version of the upstream when the attempt started
+  std::string upstream;                  // id
+  std::int64_t upstream_started_ms = 0;  // identifies its start
+  absl::Time started;                    //
+  AnswerHead head;                       //
+  std::string body;                      //
+  std::string software;                  // version of the upstream when the attempt started
 };
 
 struct Frontend::Exchange {
@@ -182,8 +183,10 @@
     if (it == exchanges_.end()) return;
     Attempt& attempt = it->second->attempts[*self];
     attempt.head = head;
-    UpstreamState* state = directory_.Find(attempt.upstream);
-    if (state != nullptr) ObserveHead(*state, head, "", attempt.started, loop_.Now());
+    // Only the own and signed answer of an upstream says something about it.
+    if (ClassifyAttempt(CallEnd::kComplete, head, it->second->request.id) != AttemptVerdict::kNoAnswer)
+      directory_.ObserveAnswer(attempt.upstream, attempt.upstream_started_ms, head, "", attempt.started,
+                               loop_.Now());
     // Recorded as the stream begins, so that the caller can resume it even if this host crashes.
     const Exchange& exchange = *it->second;
     const bool begins = exchange.route.kind == RouteKind::kStreaming && exchange.route.resumable &&
@@ -197,7 +200,8 @@
   };
   handlers.on_end = [this, id, self](CallEnd end) { OnAttemptEnd(id, *self, end); };
   *self = link_.Start(std::move(call), std::move(handlers));
-  exchange.attempts[*self] = {upstream->entry.id, now, {}, {}, upstream->entry.software};
+  exchange.attempts[*self] = {upstream->entry.id,      upstream->entry.started_ms, now, {}, {},
+                              upstream->entry.software};
 }
 
 void Frontend::OnAttemptEnd(FrontendRequestId id, CallId call, CallEnd end) {
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -146,20 +146,14 @@
   return id;
 }
 
-CallId HttpClient::StartBuffered(HttpCall call, std::function<void(CallEnd, int, const std::string&)> done,
+CallId HttpClient::StartBuffered(HttpCall call, std::function<void(CallEnd, const HttpResponse&)> done,
                                  std::function<bool(const HttpResponse&)> accepts) {
-  struct Answer {
-    int status = 0;
-    std::string body;
-  };
-  const std::shared_ptr<Answer> answer = std::make_shared<Answer>();
+  const std::shared_ptr<HttpResponse> answer = std::make_shared<HttpResponse>();
   HttpCallHandlers handlers;
   handlers.accepts = std::move(accepts);
-  handlers.on_head = [answer](const HttpResponse& head) { answer->status = head.status; };
+  handlers.on_head = [answer](const HttpResponse& head) { *answer = head; };
   handlers.on_body = [answer](std::string_view piece) { answer->body.append(piece); };
-  handlers.on_end = [answer, done = std::move(done)](CallEnd end) {
-    done(end, answer->status, answer->body);
-  };
+  handlers.on_end = [answer, done = std::move(done)](CallEnd end) { done(end, *answer); };
   return Start(std::move(call), std::move(handlers));
 }
 
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -59,8 +59,8 @@
   HttpClient(EventLoop& loop, HttpClientLimits limits);
   ~HttpClient();
   CallId Start(HttpCall call, HttpCallHandlers handlers);
-  // Like Start, but buffers the response: `done` gets the call's end, the status (0: no head) and the body.
-  CallId StartBuffered(HttpCall call, std::function<void(CallEnd, int, const std::string&)> done,
+  // Like Start, but buffers the response: `done` gets the call's end and what has arrived; status 0: no head.
+  CallId StartBuffered(HttpCall call, std::function<void(CallEnd, const HttpResponse&)> done,
                        std::function<bool(const HttpResponse&)> accepts = nullptr);
   void Cancel(CallId id);
   // Closes connections whose idle timeout has passed.
--- a/src/serving/scoring.cc
+++ b/src/serving/scoring.cc
@@ -21,9 +21,10 @@
 }  // namespace
 
 struct ScoringCalls::Attempt {
-  std::string upstream;  // id
-  absl::Time started;    //
-  AnswerHead head;       //
+  std::string upstream;                  // id
+  std::int64_t upstream_started_ms = 0;  // identifies its start
+  absl::Time started;                    //
+  AnswerHead head;                       //
 };
 
 struct ScoringCalls::Call {
@@ -151,12 +152,13 @@
     if (found == nullptr) return;
     Attempt& attempt = found->attempts[*self];
     attempt.head = head;
-    UpstreamState* const state = directory_.Find(attempt.upstream);
-    if (state != nullptr) ObserveHead(*state, head, "", attempt.started, loop_.Now());
+    if (ClassifyAttempt(CallEnd::kComplete, head, found->request.id) != AttemptVerdict::kNoAnswer)
+      directory_.ObserveAnswer(attempt.upstream, attempt.upstream_started_ms, head, "", attempt.started,
+                               loop_.Now());
   };
   handlers.on_end = [this, id, self](CallEnd end) { OnAttemptEnd(id, *self, end); };
   *self = link_.Start(std::move(http), std::move(handlers));
-  call.attempts[*self] = {upstream.entry.id, now, {}};
+  call.attempts[*self] = {upstream.entry.id, upstream.entry.started_ms, now, {}};
 }
 
 // Hedges a call at a second upstream if it is unanswered after the route's objective and the budget allows
--- a/src/serving/weights_control.cc
+++ b/src/serving/weights_control.cc
@@ -265,7 +265,9 @@
   if (engine == nullptr || upstream == nullptr) return;
   engine->request_pending = true;
   engine->next_report = loop_.Now() + settings_.report_interval;
-  link_.FetchReport(upstream->entry, [this, service_name, id](const EngineReport& report) {
+  link_.FetchReport(upstream->entry, [this, service_name, id, started_ms = upstream->entry.started_ms,
+                                      sent_at = loop_.Now()](const EngineReport& report) {
+    if (report.leaving) directory_.ObserveLeaving(id, started_ms, "report", sent_at, loop_.Now());
     Engine* const found = FindEngine(service_name, id);
     if (found == nullptr) return;
     found->request_pending = false;
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -295,6 +295,37 @@
   }
 }
 
+// Guards against items for an engine that has stated in its answers that it leaves, while no registration
+// says so because the store does not answer. Its runs end there; a new start of it is used at once.
+TEST_F(BatchServiceTest, AnEngineThatStatesItLeavesGetsNoMoreItems) {
+  TestHost& host = AddHost("h1");
+  const BatchSubmission job = MakeJob(kJob, 60);
+  for (const BatchItem& it : job.items) engines.event_counts[it.id] = 30;
+  engines.engines["e1"].leaving = true;
+  ASSERT_EQ(SubmitNow(host, job), BatchOutcome::kAccepted);
+  host.store.disconnected = true;
+  loop.RunFor(absl::Milliseconds(100));
+  const auto runs_at_e1 = [this] {
+    return std::count_if(engines.arrivals.begin(), engines.arrivals.end(),
+                         [](const fakes::RunRecord& it) { return it.engine == "e1"; });
+  };
+  const auto first = runs_at_e1();
+  EXPECT_GT(first, 0);
+  EXPECT_LE(first, 4);  // its slots, filled before its first answer
+  loop.RunFor(absl::Seconds(4));
+  host.directory.ApplyUpstream(host.directory.Find("e1")->entry);  // a late row of the same start
+  loop.RunFor(absl::Seconds(1));
+  EXPECT_EQ(runs_at_e1(), first);
+  host.store.disconnected = false;
+  engines.engines["e1"].leaving = false;
+  UpstreamEntry restarted = host.directory.Find("e1")->entry;
+  ++restarted.started_ms;
+  host.directory.ApplyUpstream(restarted);
+  loop.RunFor(absl::Seconds(10));
+  EXPECT_GT(runs_at_e1(), first);
+  ExpectCompleteResults(ReadNow(host, kJob).second, 60);
+}
+
 // Guards against missing or duplicate events when a stream breaks in the middle of an event.
 TEST_F(BatchServiceTest, ABrokenStreamResumesAfterItsLastCompleteEvent) {
   TestHost& host = AddHost("h1");
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -70,6 +70,19 @@
   EXPECT_THAT(explanation.cause, Not(HasSubstr("store")));
 }
 
+TEST(ExplainTest, ARefusalAfterAllUpstreamsStatedThatTheyLeave) {
+  const Explanation explanation = Explain(
+      Read(
+          {Line(1.0, "h1", 223, R"("upstream":"u1","service":"s","source":"answer")"),
+           Line(1.1, "h2", 223, R"("upstream":"u2","service":"s","source":"answer")"),
+           Line(
+               3.0, "h1", 901,
+               R"("request":"r1","error":"no_upstream","status":503,"attempts":0,"usable":0,"ms":0,"policy":7)")}),
+      "r1");
+  EXPECT_THAT(explanation.cause, HasSubstr("u1 stated that they leave"));
+  EXPECT_THAT(explanation.cause, Not(HasSubstr("u2")));
+}
+
 TEST(ExplainTest, ARequestWithoutARoute) {
   const Explanation explanation = Explain(
       Read({Line(1, "h1", 901, R"("request":"r1","error":"not_found","host":"a","policy":12)")}), "r1");
--- a/tests/frontend_test.cc
+++ b/tests/frontend_test.cc
@@ -277,6 +277,135 @@
   EXPECT_EQ(directory.Find("u3")->failures_in_row, 0);
 }
 
+// Upstreams that state in their answers that they leave, while no registration says so.
+struct LeavingUpstreamTest : FrontendTest {
+  static ScriptedLink::Script Leaving(int status) {
+    ScriptedLink::Script script = ScriptedLink::Success();
+    script.head.status = status;
+    script.head.leaving = true;
+    return script;
+  }
+  // `first`: the upstream to which the first attempt goes; empty: the best one.
+  void Send(const std::string& id, const std::string& first = "") {
+    for (const char* it : {"u1", "u2", "u3"}) {
+      const bool avoided = !first.empty() && it != first;
+      directory.Find(it)->avoid_until = avoided ? loop.Now() + absl::Seconds(1) : absl::InfinitePast();
+    }
+    CallerRequest request;
+    request.id = id;
+    request.http = {"POST", "/l/x", {}, "body"};
+    frontend.Handle(std::move(request), route,
+                    [this](HttpResponse response) { answers.push_back(response); });
+    loop.RunFor(absl::Milliseconds(500));
+  }
+  int SentTo(const std::string& upstream) const {
+    int n = 0;
+    for (const std::pair<const CallId, ScriptedLink::Sent>& it : link.sent)
+      n += it.second.call.expected_id == upstream ? 1 : 0;
+    return n;
+  }
+};
+
+// Guards against new requests for it, as first tries and as retries, after an answer of any status.
+TEST_F(LeavingUpstreamTest, GetsNothingNewAfterItsAnswer) {
+  for (const int status : {200, 404, 500, 503}) {
+    UpstreamEntry restarted = directory.Find("u1")->entry;
+    ++restarted.started_ms;
+    directory.ApplyUpstream(restarted);
+    link.scripts["u1"] = {Leaving(status)};
+    link.scripts["u1"].back().head.not_run = status == 503;
+    Send("first", "u1");
+    const int sent = SentTo("u1");
+    ScriptedLink::Script failed = Leaving(500);
+    failed.head.leaving = false;
+    for (const char* it : {"u2", "u3"}) link.scripts[it] = {failed};
+    for (int it = 0; it < 8; ++it) Send(absl::StrCat("next", it));
+    EXPECT_EQ(SentTo("u1"), sent) << status;
+  }
+}
+
+// Guards against a late registration of the same start that makes it usable again, against leaving out the
+// next start of it, and against an answer of the start before that is taken for one of the next.
+TEST_F(LeavingUpstreamTest, IsUsableAgainOnlyAfterANewStart) {
+  link.scripts["u1"] = {Leaving(200)};
+  Send("first", "u1");
+  const UpstreamEntry ready = directory.Find("u1")->entry;
+  directory.ApplyUpstream(ready);
+  EXPECT_EQ(directory.Usable("lookups").size(), 2u);
+  UpstreamEntry restarted = ready;
+  ++restarted.started_ms;
+  directory.ApplyUpstream(restarted);
+  EXPECT_EQ(directory.Usable("lookups").size(), 3u);
+  AnswerHead late;
+  late.status = 200;
+  late.leaving = true;
+  late.load = ReportedLoad{6, 9, 6, 1};
+  directory.ObserveAnswer("u1", ready.started_ms, late, "", loop.Now(), loop.Now());
+  EXPECT_EQ(directory.Usable("lookups").size(), 3u);
+  EXPECT_EQ(directory.Find("u1")->load.waiting, 0);
+}
+
+// Guards against taking a sound upstream out of service because of an answer to another request, or of one
+// without a signature.
+TEST_F(LeavingUpstreamTest, OnlyItsOwnSignedAnswersCount) {
+  ScriptedLink::Script foreign = Leaving(500);
+  foreign.head.request_id = "another";
+  ScriptedLink::Script unsigned_answer = Leaving(200);
+  unsigned_answer.head.signature.clear();
+  link.scripts["u1"] = {foreign, unsigned_answer};
+  Send("first", "u1");
+  Send("second", "u1");
+  EXPECT_EQ(SentTo("u1"), 2);
+  EXPECT_EQ(directory.Usable("lookups").size(), 3u);
+}
+
+// Guards against requests that are held although all upstreams of the service leave.
+TEST_F(LeavingUpstreamTest, RequestsAreRefusedAtOnceAsNotRunIfAllLeave) {
+  for (const char* it : {"u1", "u2", "u3"}) {
+    link.scripts[it] = {Leaving(200)};
+    Send(absl::StrCat("at ", it), it);
+  }
+  const std::size_t sent = link.sent.size();
+  const absl::Time started = loop.Now();
+  absl::Time answered = absl::InfiniteFuture();
+  CallerRequest request;
+  request.id = "refused";
+  frontend.Handle(std::move(request), route, [&](HttpResponse response) {
+    answered = loop.Now();
+    answers.push_back(response);
+  });
+  loop.RunFor(absl::Seconds(1));
+  EXPECT_EQ(answers.back().status, 503);
+  EXPECT_LE(answered - started, absl::Milliseconds(1));
+  EXPECT_EQ(link.sent.size(), sent);
+}
+
+// Guards against a request that waits for a permit of an upstream, and is sent there after it has stated that
+// it leaves.
+TEST_F(LeavingUpstreamTest, ARequestThatWaitedIsNotSentThere) {
+  for (const char* it : {"u1", "u2", "u3"}) {
+    directory.Find(it)->request_limit = 5;
+    directory.Find(it)->permits = 0;
+  }
+  directory.on_permits_wanted = [](UpstreamState&) { return true; };
+  CallerRequest request;
+  request.id = "waiting";
+  frontend.Handle(std::move(request), route, [this](HttpResponse response) { answers.push_back(response); });
+  loop.RunFor(absl::Milliseconds(20));
+  ASSERT_TRUE(link.sent.empty());
+  AnswerHead head;
+  head.status = 200;
+  head.request_limit = 5;
+  head.leaving = true;
+  directory.ObserveAnswer("u1", directory.Find("u1")->entry.started_ms, head, "", loop.Now(), loop.Now());
+  directory.Find("u1")->permits = 3;
+  directory.Find("u1")->permits_until = loop.Now() + absl::Seconds(1);
+  frontend.OnPermitsGranted();
+  loop.RunFor(absl::Milliseconds(500));
+  EXPECT_EQ(SentTo("u1"), 0);
+  EXPECT_EQ(answers.back().status, 503);
+}
+
 // ---- Decisions --------------------------------------------------------------------------------------------
 
 // Guards against sending work to an upstream at a tenth of its usual speed, and against never trying it
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -264,6 +264,13 @@
   ASSERT_TRUE(answer.load);
   EXPECT_EQ(answer.load->waiting, 1);
   EXPECT_DOUBLE_EQ(answer.load->slowdown, 2.5);
+  EXPECT_FALSE(answer.leaving);
+  head.headers.push_back({"Server-Leaving", "1"});
+  EXPECT_TRUE(DecodeHead(head).leaving);
+  // Another upstream at the address says nothing about the one that was meant.
+  head.status = 421;
+  EXPECT_FALSE(DecodeHead(head).leaving);
+  EXPECT_FALSE(DecodeHead(head).load);
   EXPECT_EQ(DecodeReport(R"({"models":[{"name":"m","version":3}],"busy":true,"sequence":2,"running":1})")
                 .orders_accepted,
             2);
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -291,6 +291,7 @@
     head.signature = absl::StrCat("signed:", request);
     head.load = ReportedLoad{engine.running, 0, engine.entry.slots, engine.slowdown};
     head.request_limit = engine.request_limit;
+    head.leaving = engine.leaving;
     engines_.arrivals.push_back({loop_.Now(), call.engine, request, call.request.resume_after.value_or(0)});
     if (engine.running > engine.entry.slots ||
         (loop_.Now() < engine.loading_until && engine.loading_model == model)) {
@@ -414,6 +415,7 @@
     const auto it = engines_.engines.find(id);
     if (it != engines_.engines.end() && !it->second.silent) {
       report.known = true;
+      report.leaving = it->second.leaving;
       report.busy = loop_.Now() < it->second.loading_until;
       report.orders_accepted = it->second.orders_accepted;
       report.running = it->second.running;
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -90,6 +90,7 @@
   std::string loading_model;
   int running = 0;
   std::optional<double> request_limit;   // requests/s that its answers state; it does not enforce them
+  bool leaving = false;                  // its answers and reports state that it leaves
   bool silent = false;                   // sends no response heads and no events
   bool sends_comments = false;           // sends stream comments instead of events
   bool delays_orders = false;            // orders get no reply and go to FakeEngines::delayed_orders
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -112,7 +112,7 @@
       HttpCall call;
       call.address = address;
       call.request = {"GET", "/x", {{"Host", "h"}}, ""};
-      client.StartBuffered(std::move(call), [&complete](CallEnd end, int, const std::string&) {
+      client.StartBuffered(std::move(call), [&complete](CallEnd end, const HttpResponse&) {
         complete += end == CallEnd::kComplete ? 1 : 0;
       });
     }
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -268,7 +268,25 @@
         self.scored_at = {}                        # by scoring request id: time of its first arrival
 
 
-class Engine(Server):
+class Upstream(Server):
+    """An engine or service. While it leaves, all its answers say so, but not its registration."""
+
+    def __init__(self):
+        super().__init__()
+        self.leaving = False
+        self.told = {}  # by request: time of an answer that states that it leaves
+
+    def leaving_headers(self, request):
+        if not self.leaving:
+            return []
+        self.told.setdefault(request, time.time())
+        return [("Server-Leaving", "1")]
+
+    def respond(self, writer, status, body=b"", headers=()):
+        writer.write(response(status, body, [*headers, *self.leaving_headers(dict(headers).get("Request-Id"))]))
+
+
+class Engine(Upstream):
     def __init__(self, name, zone, store, books, models):
         super().__init__()
         self.name, self.zone, self.store, self.books = name, zone, store, books
@@ -291,18 +309,18 @@
 
     async def answer(self, writer, method, target, headers, body):
         if headers.get("expect-instance", self.name) != self.name:
-            writer.write(response(421, headers=[("Instance-Id", self.name)]))
+            self.respond(writer, 421, headers=[("Instance-Id", self.name)])
             return True
         if self.fault == "silent":
             await asyncio.sleep(30)
             return False
         if target == "/api/report":
-            writer.write(response(200, {"models": [{"name": m, "version": v} for m, v in self.versions.items()],
-                                        "busy": self.loading is not None, "sequence": self.accepted, "running": self.running}))
+            self.respond(writer, 200, {"models": [{"name": m, "version": v} for m, v in self.versions.items()],
+                                        "busy": self.loading is not None, "sequence": self.accepted, "running": self.running})
             return True
         if target == "/health":
             self.books.load_questions += 1
-            writer.write(response(200, headers=[("Instance-Id", self.name), ("Server-Load", f"{self.running},0,{SLOTS},100")]))
+            self.respond(writer, 200, headers=[("Instance-Id", self.name), ("Server-Load", f"{self.running},0,{SLOTS},100")])
             return True
         if target == "/api/order":
             return self.order(writer, json.loads(body))
@@ -311,14 +329,14 @@
     def order(self, writer, order):
         self.books.orders.append((time.monotonic(), self.name, order["holder"], order["fence"]))
         if self.versions[order["model"]] == order["version"]:
-            writer.write(response(200))
+            self.respond(writer, 200)
         elif self.loading or order.get("expectedRev", self.accepted) != self.accepted:
-            writer.write(response(409))
+            self.respond(writer, 409)
         else:
             self.accepted += 1
             self.loading = order["model"]
             asyncio.get_running_loop().call_later(LOAD_S, self.loaded, order)
-            writer.write(response(202))
+            self.respond(writer, 202)
         return True
 
     def loaded(self, order):
@@ -331,19 +349,20 @@
         item, model = headers["request-id"], headers["model"]
         load = ("Server-Load", f"{self.running},0,{SLOTS},100")
         if self.loading == model or self.running >= SLOTS + QUEUE:
-            writer.write(response(503, headers=[("Not-Run", "1"), ("Request-Id", item), load]))
+            self.respond(writer, 503, headers=[("Not-Run", "1"), ("Request-Id", item), load])
             return True
         self.books.runs[item] += 1
         self.books.arrivals.append((time.monotonic(), item, self.name))
         if self.fault == "fail":
-            writer.write(response(500, headers=[("Request-Id", item), ("Server-Stamp", "s")]))
+            self.respond(writer, 500, headers=[("Request-Id", item), ("Server-Stamp", "s")])
             return True
         if self.fault == "endless":
             await send_endless_answer(writer, b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: ")
             return False
         version = self.versions[model]
+        leaving = "".join(f"{k}: {v}\r\n" for k, v in self.leaving_headers(item))
         writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: {item}\r\nServer-Stamp: s\r\n"
-                      f"Weight-Versions: {version}\r\nServer-Load: {load[1]}\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+                      f"Weight-Versions: {version}\r\nServer-Load: {load[1]}\r\n{leaving}Transfer-Encoding: chunked\r\n\r\n").encode())
         self.running += 1
         try:
             first = int(headers.get("last-event-id", "0")) + 1
@@ -370,7 +389,7 @@
             self.running -= 1
 
 
-class Service(Server):
+class Service(Upstream):
     """Answers lookups, scoring calls and calls that may run once. fault: "", lose (runs the request without an answer),
     shed, fail, slow, endless."""
 
@@ -392,10 +411,10 @@
     async def answer(self, writer, method, target, headers, body):
         request = headers.get("request-id", "")
         if headers.get("expect-instance", self.name) != self.name:
-            writer.write(response(421))
+            self.respond(writer, 421)
             return True
         if self.fault == "shed":
-            writer.write(response(503, headers=[("Not-Run", "1"), ("Request-Id", request)]))
+            self.respond(writer, 503, headers=[("Not-Run", "1"), ("Request-Id", request)])
             return True
         self.books.service_runs[request] += 1
         if target.startswith("/score/"):
@@ -406,10 +425,10 @@
             return False
         await asyncio.sleep(0.3 if self.fault == "slow" else 0.005)
         if self.fault == "fail" or target.endswith("/always-fails"):
-            writer.write(response(500, headers=[("Request-Id", request), ("Server-Stamp", "failed")]))
+            self.respond(writer, 500, headers=[("Request-Id", request), ("Server-Stamp", "failed")])
             return True
         if self.fault == "lose":
             writer.transport.abort()
             return False
-        writer.write(response(200, body + b"|" + request.encode(), [("Request-Id", request), ("Server-Stamp", signature_of(request))]))
+        self.respond(writer, 200, body + b"|" + request.encode(), [("Request-Id", request), ("Server-Stamp", signature_of(request))])
         return True
