--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -26,10 +26,7 @@
 
 constexpr std::string_view kTimeoutParameter = "timeout=";  // of the Keep-Alive header
 constexpr std::size_t kReadBytes = 8 << 10;  // for one read; Beast's default of 512 bytes splits each event
-// Received bytes that the parser cannot consume yet: an incomplete head, chunk header or trailer. Beast
-// throws std::length_error when it stores a field of 64 KB, so such bytes must never reach it.
-constexpr std::size_t kMaxUnparsedBytes = 64 << 10;
-constexpr int kSwitchingProtocols = 101;  // status code; this client never requests an upgrade
+constexpr int kSwitchingProtocols = 101;     // status code; this client never requests an upgrade
 // An idle connection is dropped this long before the idle timeout that the peer states.
 constexpr absl::Duration kKeepAliveMargin = absl::Milliseconds(500);
 
--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -18,9 +18,6 @@
 
 namespace {
 constexpr std::size_t kReadBytes = 4 << 10;  // initial size of the read buffer
-// Beast throws std::length_error when it stores a field of 64 KB, so no larger head or trailer may reach its
-// parser. Complete parts of a body leave the buffer at once.
-constexpr std::size_t kMaxUnparsedBytes = 64 << 10;
 constexpr int kListenBacklog = 1024;
 // After a failed accept, for example when the process has no free file descriptors.
 constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(50);
