Keep the sockets of a test server until its thread has ended

OneAnswerServer kept them in a member of its own, which is destroyed before its base class joins the thread that adds to it: a test that ends while the thread is between its answer and that line uses a destroyed vector. Found by reading; no run has shown it. They now belong to RawServer, whose destructor joins the thread before any member goes.

--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -46,6 +46,7 @@
   std::string Address() const { return absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port()); }
 
   asio::io_context context;
+  std::vector<tcp::socket> kept;  // by the script, open until the thread has ended
   std::atomic<bool> stopped{false};
   std::atomic<int> accepted{0};
   tcp::acceptor acceptor;
@@ -339,9 +340,8 @@
       : RawServer([this](tcp::socket& socket) {
           ReadHead(socket);
           WriteText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-          silent.push_back(std::move(socket));
+          kept.push_back(std::move(socket));
         }) {}
-  std::vector<tcp::socket> silent;
 };
 
 // Guards against a client that stays cut off from a peer that answers: when all its idle connections had
