Require the keys of workspaces, and name the workspace to upstreams

Change: keys are decoded into digests and looked up in constant time; requests without a valid key get 401 before any work, or 503 from a host whose policy may be old; each run names its workspace, which is stored with batch jobs; jobs are stored below their workspace.

--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -167,6 +167,7 @@
   int priority = 0;                                 // 0 is the highest
   std::vector<WeightedService> services;            //
   bool resumable = false;                           // streams may be resumed at another upstream
+  bool public_access = false;                       // requests need no key
   absl::Duration step_objective;                    // rollout: all results are due this long after submission
   absl::Duration max_item_age = absl::Seconds(40);  // rollout: items are abandoned this long after submission
   bool single_version = false;  // rollout: one weight version must produce the whole sample
@@ -183,11 +184,24 @@
   absl::Duration header_timeout = absl::Seconds(3);  // from the first byte to the end of the headers
   absl::Duration idle_timeout = absl::Seconds(15);   // of a keep-alive connection between requests
 };
+// Digest of an API key; see DigestOfKey in workspaces.h.
+struct KeyDigest {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+  bool operator==(const KeyDigest& other) const = default;
+};
+struct Workspace {
+  std::string name;             // sent to upstreams with each request of the workspace
+  std::optional<int> priority;  // goes before the priority of the route; nullopt: none of its own
+  std::vector<KeyDigest> keys;  //
+};
 struct Policy {
   std::int64_t version = 0;           // 0: no policy has been received yet
   std::vector<Route> routes;          //
   std::vector<ServiceSpec> services;  //
   CallerLimits limits;                //
+  bool has_workspaces = false;        // requests need a key of a workspace, but for public routes
+  std::vector<Workspace> workspaces;  //
 };
 struct UpstreamEntry {
   std::string id;                               // with `started_ms`, identifies one start of the process
@@ -236,9 +250,11 @@
 std::string_view NameOf(CallEnd end);
 
 struct UpstreamCall {
-  std::string address;                                //
-  std::string expected_id;                            // only the upstream with this id may run it; empty: any
-  std::string host;                                   // value of the Host header; empty: the one in `headers`
+  std::string address;      //
+  std::string expected_id;  // only the upstream with this id may run it; empty: any
+  std::string host;         // value of the Host header; empty: the one in `headers`
+  // Name of the workspace to send; empty: none. nullopt: no workspaces in force, headers pass as they are.
+  std::optional<std::string> workspace;
   std::string request_id;                             //
   std::string method;                                 //
   std::string target;                                 //
@@ -326,6 +342,8 @@
   std::string model;             //
   std::int64_t min_version = 0;  // oldest weight version that may produce a token of the job
   int desired_groups = 0;        // number of complete groups that the trainer waits for
+  std::optional<std::string>
+      workspace;                 // that submitted it; empty: none, by public access; nullopt: none in force
   std::vector<BatchItem> items;  //
 };
 enum class ItemState { kCompleted, kAbandoned };
--- a/src/serving/batch_records.cc
+++ b/src/serving/batch_records.cc
@@ -12,6 +12,7 @@
 using Json = nlohmann::json;
 
 constexpr int kSubmissionFormat = 1;
+constexpr std::size_t kWorkspaceField = 9;  // of a submission; records without workspaces do not have it
 // Indices of fields that records of versions before 0.3 do not have.
 constexpr std::size_t kScoringField = 7;          // of an item
 constexpr std::size_t kScoreField = 4;            // of a result
@@ -81,9 +82,11 @@
     items.push_back(Json::array({it.id, it.target, std::move(headers), Binary(it.body), it.group, it.tokens,
                                  it.length_hint, std::move(scoring)}));
   }
-  return Pack(
+  Json record =
       Json::array({kSubmissionFormat, submission.id, submission.host, submission.path, submission.step,
-                   submission.model, submission.min_version, submission.desired_groups, std::move(items)}));
+                   submission.model, submission.min_version, submission.desired_groups, std::move(items)});
+  if (submission.workspace) record.push_back(*submission.workspace);
+  return Pack(record);
 }
 
 std::optional<BatchSubmission> DecodeSubmission(std::string_view bytes) {
@@ -97,6 +100,7 @@
     submission.model = value.at(5).get<std::string>();
     submission.min_version = value.at(6).get<std::int64_t>();
     submission.desired_groups = value.at(7).get<int>();
+    if (value.size() > kWorkspaceField) submission.workspace = value[kWorkspaceField].get<std::string>();
     for (const Json& it : value.at(8)) {
       BatchItem item;
       item.id = it.at(0).get<std::string>();
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -72,7 +72,8 @@
 }
 
 std::string BatchService::PartialPartition(const Job& job) const {
-  return absl::StrCat(job.submission.host, "/", job.submission.model);
+  return absl::StrCat(WorkspacePrefix(job.submission.workspace), job.submission.host, "/",
+                      job.submission.model);
 }
 
 BatchService::Item* BatchService::FindRun(const std::string& job, std::size_t item, std::uint64_t run) {
@@ -476,6 +477,7 @@
   call.address = upstream.entry.address;
   call.expected_id = upstream.entry.id;
   call.host = job.submission.host;
+  call.workspace = job.submission.workspace;
   call.request_id = item.spec.id;
   call.method = "POST";
   call.target = item.spec.target;
--- a/src/serving/directory.cc
+++ b/src/serving/directory.cc
@@ -27,6 +27,8 @@
 bool Directory::ApplyPolicy(Policy policy) {
   if (policy.version <= policy_.version) return false;
   policy_ = std::move(policy);
+  workspaces_ = IndexWorkspaces(policy_.workspaces);
+  for (Workspace& it : policy_.workspaces) it.keys = {};
   return true;
 }
 
--- a/src/serving/directory.h
+++ b/src/serving/directory.h
@@ -15,6 +15,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "oleander/serving.h"
+#include "serving/workspaces.h"
 
 namespace oleander::serving {
 
@@ -53,6 +54,8 @@
   // Returns false, and changes nothing, if `policy` is not newer than the one in force.
   bool ApplyPolicy(Policy policy);
   const Policy& PolicyInForce() const { return policy_; }
+  // Index of the policy's workspaces. The policy itself does not keep their keys.
+  const WorkspaceIndex& Workspaces() const { return workspaces_; }
   // Returns the route of `host` with the longest prefix of the path in `target`, or nullptr.
   const Route* FindRoute(std::string_view host, std::string_view target) const;
   const ServiceSpec* FindService(std::string_view name) const;
@@ -95,6 +98,7 @@
   void OnListChanged();
 
   Policy policy_;
+  WorkspaceIndex workspaces_;
   std::map<std::string, UpstreamState> upstreams_;
   std::map<std::string, std::int64_t> announced_versions_;
   std::uint64_t generation_ = 1;
--- a/src/serving/entry_settings.cc
+++ b/src/serving/entry_settings.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "contracts/strict_json.h"
 #include "serving/http_address.h"
@@ -15,6 +16,8 @@
 constexpr int kMaxPort = 65535;
 constexpr double kMaxSeconds = 600;
 constexpr double kMaxCores = 1024;
+constexpr double kMaxCallsPerSecond = 1e6;
+constexpr absl::Duration kMinUsageWindow = absl::Seconds(1);  // hosts flush their counts several times in one
 
 void ReadAddress(ObjectReader& reader, const std::string& key, std::string& value) {
   const std::size_t old_size = value.size();
@@ -23,12 +26,34 @@
     reader.Problem(key, value, "an IP address and a port, such as 127.0.0.1:8080");
 }
 
-void ReadSeconds(ObjectReader& reader, const std::string& key, absl::Duration& value, double unit_s) {
+void ReadSeconds(ObjectReader& reader, const std::string& key, absl::Duration& value, double unit_s,
+                 Presence presence = Presence::kRequired) {
   double number = absl::ToDoubleSeconds(value) / unit_s;
-  reader.Read(key, number, 0, kMaxSeconds / unit_s, true, Presence::kRequired);
+  reader.Read(key, number, 0, kMaxSeconds / unit_s, true, presence);
   value = absl::Seconds(number * unit_s);
 }
 
+DutySettings ReadDuties(const Json& json, std::vector<std::string>& problems) {
+  DutySettings duties;
+  ObjectReader reader(json, "duties", problems);
+  ReadAddress(reader, "address", duties.address);
+  reader.Read("max_calls_per_s", duties.max_calls_per_s, 0, kMaxCallsPerSecond, true);
+  if (const Json* names = reader.Find("names", "an array of texts", Presence::kRequired)) {
+    if (!names->is_array()) reader.Problem("names", DescribeJson(*names), "an array of texts");
+    // Names of duties that this program does not know are ignored: they are other programs' to perform.
+    for (const Json& it : *names) {
+      duties.reports_usage = duties.reports_usage || it == "usage";
+      duties.orders_capacity = duties.orders_capacity || it == "scale";
+    }
+  }
+  ReadSeconds(reader, "usage_window_s", duties.usage_window, 1, Presence::kOptional);
+  ReadSeconds(reader, "usage_due_s", duties.usage_due, 1, Presence::kOptional);
+  if (duties.reports_usage && duties.usage_window < kMinUsageWindow)
+    reader.Problem("usage_window_s", absl::StrCat(absl::ToDoubleSeconds(duties.usage_window)), "at least 1");
+  reader.Finish();
+  return duties;
+}
+
 }  // namespace
 
 leaf::result<EntrySettings> ParseEntrySettings(const std::string& text) {
@@ -61,6 +86,14 @@
   }
   ReadSeconds(reader, "shutdown_grace_s", settings.shutdown_grace, 1);
   ReadSeconds(reader, "order_hand_over_ms", settings.order_hand_over, 0.001);
+  if (const Json* revocation = reader.Find("revocation", "an object")) {
+    ObjectReader part(*revocation, "revocation", problems);
+    part.Read("strict", settings.strict_revocation);
+    ReadSeconds(part, "bound_ms", settings.revocation_bound, 0.001, Presence::kOptional);
+    part.Finish();
+  }
+  if (const Json* duties = reader.Find("duties", "an object"))
+    settings.duties = ReadDuties(*duties, problems);
   reader.Read("log_level", settings.log_level);
   if (settings.log_level != "info" && settings.log_level != "warning" && settings.log_level != "error") {
     reader.Problem("log_level", settings.log_level, "info, warning or error");
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -164,6 +164,7 @@
   UpstreamCall call;
   call.address = upstream->entry.address;
   call.expected_id = upstream->entry.id;
+  call.workspace = exchange.request.workspace;
   call.request_id = exchange.request.id;
   call.method = exchange.request.http.method;
   call.target = exchange.request.http.target;
--- a/src/serving/frontend.h
+++ b/src/serving/frontend.h
@@ -23,6 +23,7 @@
   std::string host;                        // value of the Host header
   std::string id;                          // request id of this attempt by the caller
   std::optional<absl::Duration> deadline;  // how long the caller will wait
+  std::optional<std::string> workspace;    // as UpstreamCall::workspace
   bool resumes = false;  // the caller takes up a stream again, after the last event that it has
   std::string
       resumed_stream;  // request id of the attempt that brought the stream's first event; empty: not stated
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -311,6 +311,7 @@
     }
     engines_.runs.push_back({loop_.Now(), call.engine, request, call.request.resume_after.value_or(0),
                              call.request.fresh_connection});
+    if (call.request.workspace) engines_.workspaces[request] = *call.request.workspace;
     const std::int64_t resumed_after = call.request.resume_after.value_or(0);
     if (resumed_after > 0 &&
         engines_.event_software[request][static_cast<int>(resumed_after)] != engine.entry.software)
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -133,6 +133,7 @@
   std::vector<OrderRecord> orders;
   std::vector<RunRecord> runs;
   std::vector<RunRecord> arrivals;  // all requests that reached an engine, refused ones included
+  std::map<std::string, std::string> workspaces;  // by request id, as named by the last run
   int load_requests = 0;
   std::function<void()> on_refusal;  // called when a full or loading engine refuses a request; may be empty
   std::vector<std::pair<std::string, WeightsOrder>> delayed_orders;  // by engine id
