Report the requests of each workspace, from one host for all

Change: the leases of weights became DutyLeases, one mechanism for all duties, read by one call for all of them; hosts count the requests of workspaces by window of true time in rows of their own, and the holder of the usage duty stores each report once and sends it until it is accepted.

--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -7,11 +7,12 @@
 //   Frontend       idempotent and non-idempotent requests, each answered by one upstream
 //   BatchService   batch jobs: accepted durably, run by one owner host, readable from every host
 //   ScoringCalls   calls that score the generated texts of items; they share upstreams with callers' lookups
+//   DutyPlatform   calls to the platform that one host at a time makes for all
 //   WeightsControl loads the weight versions that trainers announce into the engines, from one lease holder
 //
-// Loop, Store and UpstreamLink are interfaces, so that tests can run the core on a manual clock with fakes,
-// and so that the platform's protocol details stay in platform/. Everything runs on one thread; callbacks are
-// never invoked from inside the call that registers them, unless a comment says so.
+// Loop, Store, UpstreamLink and DutyPlatform are interfaces, so that tests can run the core on a manual clock
+// with fakes, and so that the platform's protocol details stay in platform/. Everything runs on one thread;
+// callbacks are never invoked from inside the call that registers them, unless a comment says so.
 #ifndef OLEANDER_SERVING_H_
 #define OLEANDER_SERVING_H_
 
@@ -38,6 +39,8 @@
   // Time since boot, including time in which the machine is suspended, so that suspension does not extend a
   // lease.
   virtual absl::Time Now() const = 0;
+  // The host's time of day, which may be wrong by seconds and may jump. Only the usage windows use it.
+  virtual absl::Time WallNow() const = 0;
   virtual TimerId After(absl::Duration delay, std::function<void()> fn) = 0;
   virtual void Cancel(TimerId id) = 0;
 };
@@ -314,6 +317,37 @@
                          std::function<void(OrderOutcome)> done) = 0;
 };
 
+// ---- Duties -----------------------------------------------------------------------------------------------
+
+enum class DutyOutcome {
+  kAccepted,     //
+  kUnavailable,  // the platform cannot do it now, for example it has no capacity left in the zone
+  kRefused,      // not done: overload, outage, or no connection
+  kUnknown,      // no answer; it may have been done
+};
+std::string_view NameOf(DutyOutcome outcome);
+// Who performs a duty.
+struct DutyHolder {
+  std::string host;        // name of the machine
+  std::int64_t fence = 0;  // fencing token of its lease
+};
+struct CapacityOrder {
+  std::string service;       //
+  std::string zone;          //
+  int upstreams = 0;         // wanted in the zone, of the kind that `reclaimable` says
+  bool reclaimable = false;  // cheaper upstreams, which the platform may take away at short notice
+};
+class DutyPlatform {
+ public:
+  virtual ~DutyPlatform() = default;
+  // `window`: number of the usage window. `counts`: requests that began to run in it, by workspace.
+  virtual void ReportUsage(const DutyHolder& holder, std::int64_t window,
+                           const std::map<std::string, std::int64_t>& counts,
+                           std::function<void(DutyOutcome)> done) = 0;
+  virtual void OrderCapacity(const DutyHolder& holder, const CapacityOrder& order,
+                             std::function<void(DutyOutcome)> done) = 0;
+};
+
 // ---- Batch jobs -------------------------------------------------------------------------------------------
 
 // Scores the generated text of an item. Sent as a POST through the route of its host and target once the text
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 73> kEventNames = {{
+constexpr std::array<EventName, 76> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -89,6 +89,9 @@
     {LogEvent::kItemStarted, "item_started"},
     {LogEvent::kItemResumed, "item_resumed"},
     {LogEvent::kTextDiscarded, "text_discarded"},
+    {LogEvent::kUsageLost, "usage_lost"},
+    {LogEvent::kUsageGathered, "usage_gathered"},
+    {LogEvent::kUsageReported, "usage_reported"},
     {LogEvent::kBatchRefused, "batch_refused"},
     {LogEvent::kBatchRemoved, "batch_removed"},
     {LogEvent::kWeightsOrdered, "weights_ordered"},
--- a/src/serving/event_loop.cc
+++ b/src/serving/event_loop.cc
@@ -13,6 +13,14 @@
   return absl::TimeFromTimespec(now);
 }
 
+// Reads the system clock on each call: absl::Now extrapolates from the CPU's cycle counter, which does not
+// follow a time of day that jumps.
+absl::Time EventLoop::WallNow() const {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  return absl::TimeFromTimespec(now);
+}
+
 TimerId EventLoop::After(absl::Duration delay, std::function<void()> fn) {
   const TimerId id = next_id_++;
   const auto it = timers_.try_emplace(id, context_).first;
--- a/src/serving/event_loop.h
+++ b/src/serving/event_loop.h
@@ -17,6 +17,7 @@
 class EventLoop : public Loop {
  public:
   absl::Time Now() const override;
+  absl::Time WallNow() const override;
   TimerId After(absl::Duration delay, std::function<void()> fn) override;
   void Cancel(TimerId id) override;
 
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -45,6 +45,7 @@
   TimerId hedge_timer = 0;
   std::optional<std::string> software;  // the only version that may run it; nullopt: any
   bool permit_requested = false;        // once for each exchange
+  bool began = false;                   // `on_began` has been called
   TimerId permit_timer = 0;             // set while the exchange waits for a permit
 };
 
@@ -184,8 +185,11 @@
     if (it == exchanges_.end()) return;
     Attempt& attempt = it->second->attempts[*self];
     attempt.head = head;
+    const AttemptVerdict verdict = ClassifyAttempt(CallEnd::kComplete, head, it->second->request.id);
+    if (verdict == AttemptVerdict::kAnswered || verdict == AttemptVerdict::kFailed)
+      RecordBegin(*it->second, attempt.started);
     // Only the own and signed answer of an upstream says something about it.
-    if (ClassifyAttempt(CallEnd::kComplete, head, it->second->request.id) != AttemptVerdict::kNoAnswer)
+    if (verdict != AttemptVerdict::kNoAnswer)
       directory_.ObserveAnswer(attempt.upstream, attempt.upstream_started_ms, head, "", attempt.started,
                                loop_.Now());
     // Recorded as the stream begins, so that the caller can resume it even if this host crashes.
@@ -205,6 +209,12 @@
                               upstream->entry.software};
 }
 
+void Frontend::RecordBegin(Exchange& exchange, absl::Time sent) {
+  if (exchange.began || !exchange.request.workspace || exchange.request.workspace->empty()) return;
+  exchange.began = true;
+  if (on_began) on_began(*exchange.request.workspace, sent);
+}
+
 void Frontend::OnAttemptEnd(FrontendRequestId id, CallId call, CallEnd end) {
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
@@ -247,7 +257,10 @@
     return;
   }
   if (upstream != nullptr) ObserveNoAnswer(*upstream, end, now);
-  if (end != CallEnd::kNotSent) ++exchange.may_have_run;
+  if (end != CallEnd::kNotSent) {
+    ++exchange.may_have_run;
+    RecordBegin(exchange, attempt.started);
+  }
   RetryOrFail(exchange, end == CallEnd::kTimedOut ? ErrorKind::kUpstreamTimeout : ErrorKind::kUpstreamFailed);
 }
 
@@ -374,6 +387,7 @@
   loop_.Cancel(exchange.hedge_timer);
   StopWaiting(exchange);
   for (const std::pair<const CallId, Attempt>& it : exchange.attempts) {
+    RecordBegin(exchange, it.second.started);
     link_.Cancel(it.first);
     UpstreamState* upstream = directory_.Find(it.second.upstream);
     if (upstream == nullptr) continue;
--- a/src/serving/frontend.h
+++ b/src/serving/frontend.h
@@ -3,6 +3,7 @@
 #define OLEANDER_SRC_SERVING_FRONTEND_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,6 +41,9 @@
   // From now on, streams of resumable routes are recorded, and continue at the software version that began
   // them. Without this, no stream that a caller takes up again is sent to an upstream.
   void UseStreamVersions(StreamVersions& versions) { stream_versions_ = &versions; }
+  // Called once for each request of a workspace that an upstream began to run, as far as this host can tell.
+  // `began`: when it was sent to that upstream. May be empty.
+  std::function<void(const std::string& workspace, absl::Time began)> on_began;
   // Invokes `respond` exactly once unless the request is cancelled. `route` is copied.
   FrontendRequestId Handle(CallerRequest request, const Route& route, Responder respond);
   // Cancels the upstream calls of a request whose caller has disconnected.
@@ -57,6 +61,7 @@
   void ResumeStream(Exchange& exchange);
   void StartAttempt(Exchange& exchange);
   void OnAttemptEnd(FrontendRequestId id, CallId call, CallEnd end);
+  void RecordBegin(Exchange& exchange, absl::Time sent);
   void OnTimeout(FrontendRequestId id);
   void OnHedge(FrontendRequestId id);
   bool AwaitPermit(Exchange& exchange);
--- a/src/serving/http_messages.cc
+++ b/src/serving/http_messages.cc
@@ -21,6 +21,7 @@
                                                          "rollout"};
 constexpr std::array<std::string_view, 5> kCallEnds = {"complete", "not_sent", "broken", "timed_out",
                                                        "too_large"};
+constexpr std::array<std::string_view, 4> kDutyOutcomes = {"accepted", "unavailable", "refused", "unknown"};
 constexpr std::array<std::string_view, 5> kOrderOutcomes = {"accepted", "already_holds", "busy_or_moved",
                                                             "refused", "unknown"};
 constexpr std::array<std::string_view, 8> kBatchOutcomes = {
@@ -34,6 +35,7 @@
 std::string_view NameOf(StoreOutcome outcome) { return kStoreOutcomes[static_cast<int>(outcome)]; }
 std::string_view NameOf(RouteKind kind) { return kRouteKinds[static_cast<int>(kind)]; }
 std::string_view NameOf(CallEnd end) { return kCallEnds[static_cast<int>(end)]; }
+std::string_view NameOf(DutyOutcome outcome) { return kDutyOutcomes[static_cast<int>(outcome)]; }
 std::string_view NameOf(OrderOutcome outcome) { return kOrderOutcomes[static_cast<int>(outcome)]; }
 std::string_view NameOf(BatchOutcome outcome) { return kBatchOutcomes[static_cast<int>(outcome)]; }
 
--- a/src/serving/weights_control.cc
+++ b/src/serving/weights_control.cc
@@ -1,45 +1,35 @@
 #include "serving/weights_control.h"
 
 #include <algorithm>
-#include <string_view>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "oleander/log_events.h"
 
 namespace oleander::serving {
 namespace {
 
-constexpr std::string_view kLeaseTable = "lease";
-constexpr std::string_view kPartition = "weights";
-constexpr std::string_view kReleasedValue = "released";
-constexpr absl::Duration kTransitMargin =
-    absl::Milliseconds(300);  // for the transit of an order and delayed timers
 constexpr absl::Duration kRefusedOrderBackoff =
     absl::Milliseconds(700);  // before the engine gets another order
-constexpr absl::Duration kStoreRetryDelay = absl::Milliseconds(300);
 // Delay between two passes over the engines, for each engine: a pass over thousands takes milliseconds.
 constexpr absl::Duration kOrderPassDelayPerEngine = absl::Microseconds(100);
 
-RowKey LeaseRow(const std::string& service, const std::string& zone) {
-  return {std::string(kLeaseTable), std::string(kPartition), service + "/" + zone};
+std::string DutyName(const std::string& service, const std::string& zone) {
+  return absl::StrCat("weights/", service, "/", zone);
 }
 
 }  // namespace
 
-WeightsControl::WeightsControl(Loop& loop, Store& store, UpstreamLink& link, Directory& directory,
+WeightsControl::WeightsControl(Loop& loop, DutyLeases& leases, UpstreamLink& link, Directory& directory,
                                WeightsSettings settings)
-    : loop_(loop), store_(store), link_(link), directory_(directory), settings_(std::move(settings)) {}
+    : loop_(loop), leases_(leases), link_(link), directory_(directory), settings_(std::move(settings)) {}
 
 bool WeightsControl::HoldsLease(const std::string& service, const std::string& zone) const {
-  const auto it = services_.find(service);
-  if (it == services_.end()) return false;
-  const auto lease = it->second.leases.find(zone);
-  return lease != it->second.leases.end() && lease->second.holder;
+  return leases_.Holds(DutyName(service, zone));
 }
 
-bool WeightsControl::MayOrder(const Service& service, const std::string& zone) const {
-  const auto it = service.leases.find(zone);
-  return it != service.leases.end() && it->second.holder && loop_.Now() < it->second.may_order_until;
+bool WeightsControl::MayOrder(const std::string& service, const std::string& zone) const {
+  return leases_.MayAct(DutyName(service, zone));
 }
 
 WeightsControl::Engine* WeightsControl::FindEngine(const std::string& service_name,
@@ -51,23 +41,21 @@
 }
 
 void WeightsControl::Tick() {
-  if (released_) return;
   const absl::Time now = loop_.Now();
   for (const ServiceSpec& spec : directory_.PolicyInForce().services) {
     if (spec.models.empty()) continue;
     Service& service = services_[spec.name];
     if (service.zones_generation != directory_.Generation()) {
       service.zones_generation = directory_.Generation();
-      for (const UpstreamState* it : directory_.Usable(spec.name)) service.leases.try_emplace(it->entry.zone);
-    }
-    bool holder = false;
-    for (std::pair<const std::string, Lease>& it : service.leases) {
-      if (!it.second.holder) continue;
-      holder = holder || now < it.second.may_order_until;
-      if (!it.second.commit_pending && now >= it.second.next_renewal)
-        RenewLease(spec.name, it.first, it.second);
+      for (const UpstreamState* it : directory_.Usable(spec.name)) {
+        const std::string& zone = it->entry.zone;
+        if (!service.zones.insert(zone).second) continue;
+        leases_.Want(DutyName(spec.name, zone),
+                     zone == settings_.zone ? absl::ZeroDuration() : settings_.other_zone_delay);
+      }
     }
-    if (!service.poll_pending && now >= service.next_poll) PollLeases(spec.name, service);
+    const bool holder = std::any_of(service.zones.begin(), service.zones.end(),
+                                    [this, &spec](const std::string& it) { return MayOrder(spec.name, it); });
     if (holder && now >= service.next_order_pass) {
       SyncEngines(spec, service);
       OrderLoads(spec, service);
@@ -76,121 +64,6 @@
   }
 }
 
-// ---- Leases -----------------------------------------------------------------------------------------------
-
-void WeightsControl::PollLeases(const std::string& service_name, Service& service) {
-  service.poll_pending = true;
-  service.next_poll = loop_.Now() + settings_.lease_poll_interval;
-  store_.Get({std::string(kLeaseTable), std::string(kPartition), service_name + "/", service_name + "0", 0},
-             [this, service_name](const StoreReply& reply) {
-               Service& found = services_[service_name];
-               found.poll_pending = false;
-               if (reply.outcome != StoreOutcome::kOk || released_) return;
-               for (std::pair<const std::string, Lease>& it : found.leases) {
-                 const Row* row = nullptr;
-                 for (const Row& candidate : reply.rows) {
-                   if (candidate.id.key == LeaseRow(service_name, it.first).key) row = &candidate;
-                 }
-                 if (!it.second.holder && !it.second.commit_pending)
-                   TakeLeaseIfExpired(service_name, it.first, it.second, row);
-               }
-             });
-}
-
-// Takes the lease if its row has not changed for so long that its holder must have stopped ordering at least
-// `hand_over_gap` ago.
-void WeightsControl::TakeLeaseIfExpired(const std::string& service_name, const std::string& zone,
-                                        Lease& lease, const Row* row) {
-  const absl::Time now = loop_.Now();
-  const std::int64_t version = row == nullptr ? 0 : row->version;
-  if (version != lease.seen_version) {
-    lease.seen_version = version;
-    lease.seen_version_since = now;
-    lease.seen_released = row != nullptr && row->value == kReleasedValue;
-  }
-  absl::Duration required_silence = settings_.order_window + settings_.hand_over_gap + kTransitMargin;
-  if (version == 0) required_silence = absl::ZeroDuration();  // the lease has never been held
-  if (lease.seen_released) required_silence = settings_.hand_over_gap + kTransitMargin;
-  if (zone != settings_.zone) required_silence += settings_.other_zone_delay;
-  if (now - lease.seen_version_since >= required_silence) TakeLease(service_name, zone, lease, version);
-}
-
-void WeightsControl::TakeLease(const std::string& service_name, const std::string& zone, Lease& lease,
-                               std::int64_t version) {
-  lease.commit_pending = true;
-  const absl::Time sent = loop_.Now();
-  Transaction transaction;
-  transaction.conditions = {{LeaseRow(service_name, zone), version}};
-  transaction.writes = {{LeaseRow(service_name, zone), settings_.incarnation}};
-  store_.Commit(transaction, [this, service_name, zone, sent](const StoreReply& reply) {
-    Lease& found = services_[service_name].leases[zone];
-    found.commit_pending = false;
-    found.seen_version = -1;
-    if (reply.outcome != StoreOutcome::kOk || released_) return;
-    found.holder = true;
-    found.version = reply.version;
-    found.fence = reply.version;
-    found.may_order_until = sent + settings_.order_window;
-    found.next_renewal = sent + settings_.renew_interval;
-    LogEventLine(LogLevel::kInfo, LogEvent::kLeaseTaken,
-                 {{"lease", "weights"}, {"service", service_name}, {"zone", zone}, {"fence", found.fence}});
-  });
-}
-
-void WeightsControl::RenewLease(const std::string& service_name, const std::string& zone, Lease& lease) {
-  lease.commit_pending = true;
-  const absl::Time sent = loop_.Now();
-  lease.next_renewal = sent + settings_.renew_interval;
-  Transaction transaction;
-  transaction.conditions = {{LeaseRow(service_name, zone), lease.version}};
-  transaction.writes = {{LeaseRow(service_name, zone), settings_.incarnation}};
-  store_.Commit(transaction, [this, service_name, zone, sent](const StoreReply& reply) {
-    Lease& found = services_[service_name].leases[zone];
-    found.commit_pending = false;
-    if (!found.holder) return;
-    if (reply.outcome == StoreOutcome::kOk) {
-      found.version = reply.version;
-      found.may_order_until = sent + settings_.order_window;
-      return;
-    }
-    if (reply.outcome == StoreOutcome::kConflict) {
-      for (const Row& it : reply.rows) {
-        if (it.value != settings_.incarnation) continue;
-        // An earlier renewal was committed but its reply was lost. Only a new renewal extends the order
-        // window.
-        found.version = it.version;
-        found.next_renewal = loop_.Now();
-        return;
-      }
-      LoseLease(service_name, zone, found, "taken_by_another");
-      return;
-    }
-    found.next_renewal = loop_.Now() + kStoreRetryDelay;
-  });
-}
-
-void WeightsControl::LoseLease(const std::string& service_name, const std::string& zone, Lease& lease,
-                               std::string_view reason) {
-  LogEventLine(LogLevel::kWarning, LogEvent::kLeaseLost,
-               {{"lease", "weights"}, {"service", service_name}, {"zone", zone}, {"reason", reason}});
-  lease.holder = false;
-  lease.may_order_until = absl::InfinitePast();
-}
-
-void WeightsControl::Release() {
-  released_ = true;
-  for (std::pair<const std::string, Service>& service : services_) {
-    for (std::pair<const std::string, Lease>& it : service.second.leases) {
-      if (!it.second.holder) continue;
-      Transaction transaction;
-      transaction.conditions = {{LeaseRow(service.first, it.first), it.second.version}};
-      transaction.writes = {{LeaseRow(service.first, it.first), std::string(kReleasedValue)}};
-      store_.Commit(transaction, [](const StoreReply&) {});  // if the commit fails, the lease expires
-      LoseLease(service.first, it.first, it.second, "released");
-    }
-  }
-}
-
 // ---- Engines ----------------------------------------------------------------------------------------------
 
 void WeightsControl::SyncEngines(const ServiceSpec& spec, Service& service) {
@@ -204,7 +77,7 @@
     }
     engine.zone = it->entry.zone;
     engine.weights.id = it->entry.id;
-    engine.weights.may_order = MayOrder(service, engine.zone);
+    engine.weights.may_order = MayOrder(spec.name, engine.zone);
     for (const std::pair<const std::string, std::int64_t>& held : it->observed_weights) {
       std::int64_t& known = engine.weights.held[held.first];
       if (held.second < known && !engine.weights.loading) engine.report_known = false;
@@ -297,16 +170,15 @@
 }
 
 void WeightsControl::StartLoad(const std::string& service_name, const LoadChoice& load) {
-  Service& service = services_[service_name];
   Engine* const engine = FindEngine(service_name, load.engine);
   UpstreamState* const upstream = directory_.Find(load.engine);
   // Checked again here: this host may have been suspended since the tick began.
-  if (engine == nullptr || upstream == nullptr || !MayOrder(service, engine->zone)) return;
+  if (engine == nullptr || upstream == nullptr || !MayOrder(service_name, engine->zone)) return;
   WeightsOrder order;
   order.model = load.model;
   order.version = load.version;
   order.holder = settings_.incarnation;
-  order.fence = service.leases[engine->zone].fence;
+  order.fence = leases_.Fence(DutyName(service_name, engine->zone));
   order.orders_accepted = engine->orders_accepted;
   engine->request_pending = true;
   engine->weights.loading = true;
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -24,6 +24,7 @@
 class FakeLoop : public Loop {
  public:
   absl::Time Now() const override { return now_; }
+  absl::Time WallNow() const override { return now_; }
   TimerId After(absl::Duration delay, std::function<void()> fn) override;
   void Cancel(TimerId id) override;
   void RunFor(absl::Duration duration);
--- a/tests/weights_control_test.cc
+++ b/tests/weights_control_test.cc
@@ -23,16 +23,20 @@
               const std::string& zone)
       : loop(the_loop), engines(the_engines), store(the_store), link(the_loop, the_engines) {
     directory.ApplyPolicy(fakes::MakePolicy());
+    DutyLeaseSettings lease_settings;
+    lease_settings.incarnation = name;
+    lease_settings.hand_over_gap = kHandOverGap;
+    leases = std::make_unique<DutyLeases>(loop, store, lease_settings);
     WeightsSettings settings;
     settings.incarnation = name;
     settings.zone = zone;
-    settings.hand_over_gap = kHandOverGap;
-    control = std::make_unique<WeightsControl>(loop, store, link, directory, settings);
+    control = std::make_unique<WeightsControl>(loop, *leases, link, directory, settings);
     Tick();
   }
   void Tick() {
     if (!paused) {
       if (registrations_current) engines.ApplyRegistrations(directory);
+      leases->Tick();
       control->Tick();
     }
     loop.After(absl::Milliseconds(100), [this] { Tick(); });
@@ -43,6 +47,7 @@
   StorePort store;
   EnginePort link;
   Directory directory;
+  std::unique_ptr<DutyLeases> leases;
   std::unique_ptr<WeightsControl> control;
   bool paused = false;
   bool registrations_current = true;  // the directory follows the versions that the engines hold
@@ -189,7 +194,7 @@
   SetAnnouncedVersion(2);
   SetAnnouncedVersion(3);
   loop.RunFor(absl::Milliseconds(500));
-  first.control->Release();
+  first.leases->Release();
   loop.RunFor(absl::Seconds(12));
   ExpectOneHolder();
   EXPECT_EQ(CountEnginesWith(2), 8);
