--- a/src/diagnosis/explain.cc
+++ b/src/diagnosis/explain.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "oleander/log_events.h"
@@ -112,6 +113,12 @@
   if (error == "not_found")
     return absl::StrCat("no route of policy version ", TextOf(refusal, "policy"),
                         " matches its host and path");
+  const std::string reason = TextOf(refusal, "reason");
+  if (error == "unauthenticated" && reason == "unknown")
+    return absl::StrCat("no workspace of policy version ", TextOf(refusal, "policy"), " has its key");
+  if (error == "unauthenticated") return absl::StrCat("its key was ", reason);
+  if (error == "not_ready" && reason == "policy_old")
+    return "the host had no news of keys from the store, so it could not tell whether the key is valid";
   if (error == "not_ready") return "the host had just started and had not received a policy yet";
   std::string cause = absl::StrCat("refused as ", error, " after ", TextOf(refusal, "ms"), " ms");
   if (TextOf(refusal, "usable") == "0") {
@@ -309,7 +316,11 @@
 // ---- Explaining -------------------------------------------------------------------------------------------
 
 Explanation Explain(const ParsedLogs& logs, const std::string& id) {
-  const auto matches_id = [&id](const LogLine& line, const char* key) { return TextOf(line, key) == id; };
+  // The id of a job may be given without the workspace that its lines name before it.
+  const auto matches_id = [&id](const LogLine& line, const char* key) {
+    const std::string found = TextOf(line, key);
+    return found == id || absl::EndsWith(found, absl::StrCat("/", id));
+  };
   Lines lines = Select(logs, [&](const LogLine& it) { return matches_id(it, "job") && IsJobLine(it); });
   Explanation explanation;
   if (!lines.empty()) {
