--- a/review/rig2.py
+++ b/review/rig2.py
@@ -4,6 +4,7 @@
 import asyncio
 import base64
 import json
+import logging
 import os
 import pathlib
 import random
@@ -21,6 +22,7 @@
 from standins import Engine, Service, Store, StorePort, UpstreamRecords  # noqa: E402
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+logging.getLogger("asyncio").setLevel(logging.ERROR)  # not each write to a connection that a host has closed
 ZONES = ["za", "zb", "zc"]
 HEARTBEAT_S = 1.2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
