--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,7 +20,7 @@
 EVENT_BYTES = 2_000                    # the sheets' largest
 ITEMS, EVENTS = 320, 16                # texts of 32 KB
 LONG_ITEMS, LONG_EVENTS = 24, 190      # of them; the sheets' longest texts have 194 events
-OTHER_CLIENTS = 3                      # each reads twice a second, at any host, from any position
+OTHER_CLIENTS = 5                      # each reads twice a second, at any host, from any position
 DEADLINE_S = 12.0                      # the trainer's
 TOUCH_S = 3.0                          # after the kill; touchMs of the sheet
 WAIT_BOUND_S = 5.0                     # the rule: at no engine for this long in steady state
@@ -120,7 +120,7 @@
         engine = TimedEngine(f"e{n}", rig2.ZONES[n % 3], rig.store, rig.books, [MODEL], "engines")
         await rig.bring_up(engine)
     rig.put_config([ROUTE], SERVICES)
-    await rig.start_hosts(4, LinkToStore)
+    await rig.start_hosts(6, LinkToStore)
     end = time.monotonic() + 15
     while rig.owner_of(MODEL) is None:
         if time.monotonic() > end:
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -102,7 +102,7 @@
             "listen": {"callers": f"127.0.0.1:{self.port}", "readiness": f"127.0.0.1:{self.ready_port}",
                        "metrics_port": self.metrics_port},
             "store": {"address": f"127.0.0.1:{self.store_port}", "max_row_bytes": 65536, "max_object_bytes": 8388608},
-            "limits": {"memory_mb": 300, "descriptors": 8200, "processor_share": 0.5},
+            "limits": {"memory_mb": self.rig.memory_mb, "descriptors": 8200, "processor_share": 0.5},
             "shutdown_grace_s": 8, "order_hand_over_ms": 3000, "log_level": "info"}))
         self.log = open(pathlib.Path(self.rig.folder) / f"{self.name}.log", "ab")
         environment = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
@@ -127,6 +127,7 @@
         self.store, self.books = Store(), UpstreamRecords()
         self.hosts, self.upstreams, self.tasks = [], [], []
         self.version = 3
+        self.memory_mb = 300  # of each machine
 
     async def add_engine(self, name, zone, models, service="engines"):
         engine = ModelEngine(name, zone, self.store, self.books, models, service)
