Log how long a new owner reads its job, and what it wrote before it lost it

Event 537 batch_loaded: rows and bytes that a new owner has read, how long that took, and how long its lease still holds. Event 523 batch_released: how long this host has owned the job, the writes that the store has confirmed in that time, and the time since the last of them. No decision changed.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -77,6 +77,7 @@
   kItemStarted = 534,
   kTextDiscarded = 535,
   kItemResumed = 536,
+  kBatchLoaded = 537,
   kUsageLost = 540,
   kUsageGathered = 541,
   kUsageReported = 542,
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -228,7 +228,7 @@
   Job& job = *owned;
   job.lease = lease;
   job.lease_version = lease_version;
-  job.last_commit = job.confirmed_at = loop_.Now();
+  job.last_commit = job.confirmed_at = job.owned_since = loop_.Now();
   job.last_checkpoint = loop_.Now();
   jobs_[id] = std::move(owned);
   LoadPartials(job);
@@ -267,7 +267,7 @@
 void BatchService::StartAssignedJob(const std::string& id) {
   if (!accepting_ || FindJob(id) != nullptr || !taking_over_.insert(id).second) return;
   FetchRange({std::string(kBatchTable), id, SubmissionKey(), std::string(kAllKeysEnd), 0}, {},
-             [this, id](StoreOutcome outcome, std::vector<Row> rows) {
+             [this, id, started = loop_.Now()](StoreOutcome outcome, std::vector<Row> rows) {
                std::optional<BatchLease> lease;
                std::int64_t version = 0;
                bool ended = false;
@@ -284,26 +284,29 @@
                  taking_over_.erase(id);
                  return;
                }
-               OnJobRows(id, *lease, version, std::move(rows));
+               OnJobRows(id, *lease, version, started, std::move(rows));
              });
 }
 
 void BatchService::LoadJob(const std::string& id, const BatchLease& lease, std::int64_t lease_version) {
-  FetchRange({std::string(kBatchTable), id, SubmissionKey(), std::string(kAllKeysEnd), 0}, {},
-             [this, id, lease, lease_version](StoreOutcome outcome, std::vector<Row> rows) {
-               if (outcome != StoreOutcome::kOk) {
-                 taking_over_.erase(id);
-                 return;
-               }
-               OnJobRows(id, lease, lease_version, std::move(rows));
-             });
+  FetchRange(
+      {std::string(kBatchTable), id, SubmissionKey(), std::string(kAllKeysEnd), 0}, {},
+      [this, id, lease, lease_version, started = loop_.Now()](StoreOutcome outcome, std::vector<Row> rows) {
+        if (outcome != StoreOutcome::kOk) {
+          taking_over_.erase(id);
+          return;
+        }
+        OnJobRows(id, lease, lease_version, started, std::move(rows));
+      });
 }
 
 void BatchService::OnJobRows(const std::string& id, const BatchLease& lease, std::int64_t lease_version,
-                             std::vector<Row> rows) {
+                             absl::Time started, std::vector<Row> rows) {
+  std::size_t bytes_read = 0;
+  for (const Row& it : rows) bytes_read += it.value.size();
   FetchSubmission(id, rows,
-                  [this, id, lease, lease_version, rows](StoreOutcome outcome,
-                                                         std::optional<BatchSubmission> submission) {
+                  [this, id, lease, lease_version, rows, started, bytes_read](
+                      StoreOutcome outcome, std::optional<BatchSubmission> submission) {
                     taking_over_.erase(id);
                     if (outcome != StoreOutcome::kOk || !submission || FindJob(id) != nullptr || !accepting_)
                       return;
@@ -323,6 +326,14 @@
                       }
                       finished_items.insert(result->item);
                     }
+                    LogEventLine(
+                        LogLevel::kInfo, LogEvent::kBatchLoaded,
+                        {{"job", id},
+                         {"rows", rows.size()},
+                         {"bytes", bytes_read},
+                         {"listed", finished_items.size()},
+                         {"ms", absl::ToInt64Milliseconds(loop_.Now() - started)},
+                         {"lease_left_ms", absl::ToInt64Milliseconds(lease.valid_until - StoreNow())}});
                     AddOwnedJob(std::move(*submission), lease, lease_version);
                     Job& job = *FindJob(id);
                     job.lease.committed = static_cast<std::int64_t>(finished_items.size());
@@ -658,6 +669,7 @@
                     job.pending.begin() + static_cast<std::ptrdiff_t>(job.attempt_results));
   job.last_commit = loop_.Now();
   job.confirmed_at = confirmed_at;
+  ++job.confirmed_writes;
   if (job.lease.finished) {
     Drop(id, "finished");
   } else if (job.lease.owner.empty()) {
@@ -677,9 +689,14 @@
   if (it == jobs_.end()) return;
   Job& job = *it->second;
   StopWork(job);
-  LogEventLine(
-      LogLevel::kInfo, LogEvent::kBatchReleased,
-      {{"job", id}, {"reason", reason}, {"listed", job.lease.committed}, {"total", job.lease.total}});
+  LogEventLine(LogLevel::kInfo, LogEvent::kBatchReleased,
+               {{"job", id},
+                {"reason", reason},
+                {"listed", job.lease.committed},
+                {"total", job.lease.total},
+                {"owned_ms", absl::ToInt64Milliseconds(loop_.Now() - job.owned_since)},
+                {"writes", job.confirmed_writes},
+                {"unconfirmed_ms", absl::ToInt64Milliseconds(loop_.Now() - job.confirmed_at)}});
   jobs_.erase(it);
 }
 
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -118,7 +118,7 @@
   void TakeOver(const std::string& job, const BatchLease& expired, std::int64_t lease_version);
   void LoadJob(const std::string& job, const BatchLease& lease, std::int64_t lease_version);
   void OnJobRows(const std::string& job, const BatchLease& lease, std::int64_t lease_version,
-                 std::vector<Row> rows);
+                 absl::Time started, std::vector<Row> rows);
   void FetchRange(RowRange range, std::vector<Row> rows,
                   std::function<void(StoreOutcome, std::vector<Row>)> done);
   void FetchSubmission(const std::string& job, std::vector<Row> rows,
