Renew the lease of a batch job while its new owner reads it

Cause: a lease of 1.2 s, and nobody renews it before the job's rows are read: the submission and all results. The same for a job that was accepted for another host: its owner reads a submission of 24 MB in 4.3 s.

A read without an answer is repeated; a host that gets no answer for 5 s gives the job up and leaves it to others for as long (event 538). Bodies of items are read from the store until then; an end, a shutdown or a lost lease stops the load.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -78,6 +78,7 @@
   kTextDiscarded = 535,
   kItemResumed = 536,
   kBatchLoaded = 537,
+  kBatchUnreadable = 538,
   kUsageLost = 540,
   kUsageGathered = 541,
   kUsageReported = 542,
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 80> kEventNames = {{
+constexpr std::array<EventName, 81> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -91,6 +91,7 @@
     {LogEvent::kItemResumed, "item_resumed"},
     {LogEvent::kTextDiscarded, "text_discarded"},
     {LogEvent::kBatchLoaded, "batch_loaded"},
+    {LogEvent::kBatchUnreadable, "batch_unreadable"},
     {LogEvent::kUsageLost, "usage_lost"},
     {LogEvent::kUsageGathered, "usage_gathered"},
     {LogEvent::kUsageReported, "usage_reported"},
--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -18,6 +18,8 @@
 inline constexpr std::size_t kMaxRowsInCommit =
     95;  // the store accepts 100; the rest is for the lease and a result split into several rows
 
+inline constexpr absl::Duration kRetryPause = absl::Milliseconds(80);  // after a failed call to the store
+
 struct BatchService::Item {
   BatchItem spec;
   std::size_t index = 0;
@@ -63,8 +65,10 @@
 };
 
 struct BatchService::Job {
-  BatchSubmission submission;
-  BatchLease lease;  // as last written to the store
+  BatchSubmission submission;  // only its id while `loading`
+  bool loading = true;     // the lease is this host's, but the items have not been read from the store yet
+  std::uint64_t load = 0;  // the load in progress
+  BatchLease lease;        // as last written to the store
   std::int64_t lease_version = 0;
   std::vector<Item> items;
   std::vector<std::size_t> order;  // item by rank
@@ -90,7 +94,7 @@
   absl::Time attempt_sent;  // when it was last sent
   absl::Time confirmed_at;  // when the last write that the store has confirmed was sent
   int confirmed_writes = 0;
-  absl::Time owned_since;
+  absl::Time owned_since;  //
   absl::Time last_checkpoint;
   bool checkpoint_in_flight = false;
   std::size_t checkpoint_from = 0;              // index of the item at which the next checkpoint begins
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -40,18 +40,22 @@
 
 }  // namespace
 
-BatchService::Job BatchService::MakeJob(BatchSubmission submission) {
-  Job job;
+// Begins to run a job whose items are known now.
+void BatchService::SetItems(Job& job, BatchSubmission submission,
+                            const std::set<std::string>& finished_items) {
+  job.loading = false;
   job.submission = std::move(submission);
   job.items.resize(job.submission.items.size());
   for (std::size_t it = 0; it < job.items.size(); ++it) {
-    job.items[it].spec = std::move(job.submission.items[it]);
-    job.items[it].index = it;
+    Item& item = job.items[it];
+    item.spec = std::move(job.submission.items[it]);
+    item.index = it;
+    if (finished_items.contains(item.spec.id)) item.phase = Phase::kFinished;
     job.order.push_back(it);
   }
   job.submission.items.clear();
   RankItems(job);
-  return job;
+  LoadPartials(job);
 }
 
 // Orders the items for starting. Items with stored text are first: the trainer is waiting for their groups,
@@ -949,6 +953,7 @@
 }
 
 void BatchService::AbandonLateItems(Job& job) {
+  if (job.loading) return;
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
   const bool route_removed = route == nullptr && directory_.PolicyInForce().version > 0;
   const bool late = route != nullptr && StoreNow() - job.lease.accepted_at >= route->max_item_age;
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -10,7 +10,6 @@
 namespace oleander::serving {
 namespace {
 
-constexpr absl::Duration kRetryPause = absl::Milliseconds(80);  // after a failed call to the store
 constexpr absl::Duration kTakeOverMargin =
     absl::Milliseconds(150);  // allows for the error of the owner's estimate of the store's time
 constexpr absl::Duration kReadRetryTimeout =
@@ -200,7 +199,7 @@
     if (submit_op->lease.owner != settings_.incarnation) {
       owners_->Assign(submit_op->submission.model, id);
     } else if (FindJob(id) == nullptr) {
-      AddOwnedJob(std::move(submit_op->submission), submit_op->lease, reply.version);
+      SetItems(AddOwnedJob(id, submit_op->lease, reply.version), std::move(submit_op->submission), {});
     }
     submit_op->done(BatchOutcome::kAccepted);
     return;
@@ -221,129 +220,23 @@
   submit_op->done(submit_op->uncertain ? BatchOutcome::kOutcomeUnknown : BatchOutcome::kNotRun);
 }
 
-void BatchService::AddOwnedJob(BatchSubmission submission, const BatchLease& lease,
-                               std::int64_t lease_version) {
-  const std::string id = submission.id;
-  std::unique_ptr<Job> owned = std::make_unique<Job>(MakeJob(std::move(submission)));
+BatchService::Job& BatchService::AddOwnedJob(const std::string& id, const BatchLease& lease,
+                                             std::int64_t lease_version) {
+  std::unique_ptr<Job> owned = std::make_unique<Job>();
   Job& job = *owned;
+  job.submission.id = id;
   job.lease = lease;
   job.lease_version = lease_version;
-  job.last_commit = job.confirmed_at = job.owned_since = loop_.Now();
-  job.last_checkpoint = loop_.Now();
+  job.confirmed_at = job.owned_since = job.last_checkpoint = loop_.Now();
+  // The lease may have been written some time ago, and is renewed as if this host had written it then.
+  const absl::Duration lease_left =
+      std::clamp(lease.valid_until - StoreNow(), absl::ZeroDuration(), settings_.lease);
+  job.last_commit = loop_.Now() - (settings_.lease - lease_left);
   jobs_[id] = std::move(owned);
-  LoadPartials(job);
+  return job;
 }
 
-// ---- Takeover ---------------------------------------------------------------------------------------------
-
-void BatchService::TakeOver(const std::string& id, const BatchLease& expired, std::int64_t lease_version) {
-  if (!accepting_ || !store_clock_.known || FindJob(id) != nullptr || !taking_over_.insert(id).second) return;
-  if (expired.owner == settings_.incarnation) {
-    LoadJob(id, expired, lease_version);
-    return;
-  }
-  BatchLease lease = expired;
-  lease.owner = settings_.incarnation;
-  lease.valid_until = StoreNow() + settings_.lease;
-  Transaction transaction;
-  transaction.conditions = {{{std::string(kBatchTable), id, std::string(kLeaseKey)}, lease_version},
-                            {{std::string(kBatchTable), id, std::string(kEndedKey)}, 0}};
-  transaction.writes = {{{std::string(kBatchTable), id, std::string(kLeaseKey)}, EncodeLease(lease)}};
-  LogEventLine(LogLevel::kInfo, LogEvent::kBatchTakeover,
-               {{"job", id},
-                {"former_owner", expired.owner},
-                {"listed", expired.committed},
-                {"total", expired.total}});
-  store_.Commit(transaction, [this, id, lease](const StoreReply& reply) {
-    UpdateStoreClock(reply);
-    if (reply.outcome == StoreOutcome::kOk) {
-      LoadJob(id, lease, reply.version);
-    } else {
-      taking_over_.erase(id);
-    }
-  });
-}
-
-void BatchService::StartAssignedJob(const std::string& id) {
-  if (!accepting_ || FindJob(id) != nullptr || !taking_over_.insert(id).second) return;
-  FetchRange({std::string(kBatchTable), id, SubmissionKey(), std::string(kAllKeysEnd), 0}, {},
-             [this, id, started = loop_.Now()](StoreOutcome outcome, std::vector<Row> rows) {
-               std::optional<BatchLease> lease;
-               std::int64_t version = 0;
-               bool ended = false;
-               for (const Row& it : rows) {
-                 ended = ended || it.id.key == kEndedKey;
-                 if (it.id.key != kLeaseKey) continue;
-                 lease = DecodeLease(it.value);
-                 version = it.version;
-               }
-               // The read failed, or the job is over or has another owner by now. If no host runs it, a read
-               // takes it over when the lease has expired.
-               if (outcome != StoreOutcome::kOk || ended || !lease || lease->finished ||
-                   lease->owner != settings_.incarnation) {
-                 taking_over_.erase(id);
-                 return;
-               }
-               OnJobRows(id, *lease, version, started, std::move(rows));
-             });
-}
-
-void BatchService::LoadJob(const std::string& id, const BatchLease& lease, std::int64_t lease_version) {
-  FetchRange(
-      {std::string(kBatchTable), id, SubmissionKey(), std::string(kAllKeysEnd), 0}, {},
-      [this, id, lease, lease_version, started = loop_.Now()](StoreOutcome outcome, std::vector<Row> rows) {
-        if (outcome != StoreOutcome::kOk) {
-          taking_over_.erase(id);
-          return;
-        }
-        OnJobRows(id, lease, lease_version, started, std::move(rows));
-      });
-}
-
-void BatchService::OnJobRows(const std::string& id, const BatchLease& lease, std::int64_t lease_version,
-                             absl::Time started, std::vector<Row> rows) {
-  std::size_t bytes_read = 0;
-  for (const Row& it : rows) bytes_read += it.value.size();
-  FetchSubmission(id, rows,
-                  [this, id, lease, lease_version, rows, started, bytes_read](
-                      StoreOutcome outcome, std::optional<BatchSubmission> submission) {
-                    taking_over_.erase(id);
-                    if (outcome != StoreOutcome::kOk || !submission || FindJob(id) != nullptr || !accepting_)
-                      return;
-                    std::set<std::string> finished_items;
-                    for (std::size_t at = 0; at < rows.size();) {
-                      const std::size_t row = at;
-                      if (!ResultPosition(rows[row].id.key)) {
-                        ++at;
-                        continue;
-                      }
-                      const std::optional<std::string> bytes = JoinRows(rows, at);
-                      const std::optional<ItemResult> result = bytes ? DecodeResult(*bytes) : std::nullopt;
-                      if (!result) {
-                        LogEventLine(LogLevel::kError, LogEvent::kRecordUnreadable,
-                                     {{"job", id}, {"key", rows[row].id.key}});
-                        return;
-                      }
-                      finished_items.insert(result->item);
-                    }
-                    LogEventLine(
-                        LogLevel::kInfo, LogEvent::kBatchLoaded,
-                        {{"job", id},
-                         {"rows", rows.size()},
-                         {"bytes", bytes_read},
-                         {"listed", finished_items.size()},
-                         {"ms", absl::ToInt64Milliseconds(loop_.Now() - started)},
-                         {"lease_left_ms", absl::ToInt64Milliseconds(lease.valid_until - StoreNow())}});
-                    AddOwnedJob(std::move(*submission), lease, lease_version);
-                    Job& job = *FindJob(id);
-                    job.lease.committed = static_cast<std::int64_t>(finished_items.size());
-                    for (Item& it : job.items) {
-                      if (!finished_items.contains(it.spec.id)) continue;
-                      it.phase = Phase::kFinished;
-                      job.waiting.erase(it.rank);
-                    }
-                  });
-}
+// ---- Records ----------------------------------------------------------------------------------------------
 
 void BatchService::FetchRange(RowRange range, std::vector<Row> rows,
                               std::function<void(StoreOutcome, std::vector<Row>)> done) {
@@ -491,7 +384,7 @@
 
 void BatchService::ItemBody(const std::string& job, const std::string& item, BodyDone done) {
   const Job* owned = FindJob(job);
-  if (owned != nullptr) {
+  if (owned != nullptr && !owned->loading) {
     for (const Item& it : owned->items) {
       if (it.spec.id != item) continue;
       done(BatchOutcome::kOk, it.spec.body);
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -53,6 +53,8 @@
   absl::Duration poll_every = absl::Milliseconds(60);        // between store reads for a waiting reader
   absl::Duration silence_limit = absl::Milliseconds(2500);   // a run without data for this long is cancelled
   absl::Duration accept_timeout = absl::Milliseconds(1500);  // retries of a submission while the store fails
+  // A new owner that reads nothing of its job for this long gives it up, so that another host can try.
+  absl::Duration max_load_stall = absl::Seconds(5);
   absl::Duration retention = absl::Minutes(5);    // of an ended or finished job, from its acceptance
   absl::Duration max_retention = absl::Hours(1);  // of a job that was neither ended nor finished
   absl::Duration sweep_every = absl::Minutes(1);  // one sweep for all hosts
@@ -110,15 +112,24 @@
   struct Job;
   struct SubmitOp;
   struct ReadOp;
+  struct LoadOp;
 
   void WriteSubmission(const std::shared_ptr<SubmitOp>& submit_op);
   void WriteObjects(const std::shared_ptr<SubmitOp>& submit_op, int piece);
   void OnSubmissionWritten(const std::shared_ptr<SubmitOp>& submit_op, const StoreReply& reply);
-  void AddOwnedJob(BatchSubmission submission, const BatchLease& lease, std::int64_t lease_version);
+  // Adds a job whose lease this host holds. The host renews the lease from now on, also while it reads the
+  // job's items, which may take longer than a lease.
+  Job& AddOwnedJob(const std::string& id, const BatchLease& lease, std::int64_t lease_version);
   void TakeOver(const std::string& job, const BatchLease& expired, std::int64_t lease_version);
-  void LoadJob(const std::string& job, const BatchLease& lease, std::int64_t lease_version);
-  void OnJobRows(const std::string& job, const BatchLease& lease, std::int64_t lease_version,
-                 absl::Time started, std::vector<Row> rows);
+  void LoadJob(Job& job);
+  void LoadRows(const std::shared_ptr<LoadOp>& load_op, RowRange range);
+  void LoadObject(const std::shared_ptr<LoadOp>& load_op, int piece, int count);
+  Job* FindLoading(const LoadOp& load_op);
+  void RetryLoad(const std::shared_ptr<LoadOp>& load_op, std::function<void()> step);
+  void OnRowsLoaded(const std::shared_ptr<LoadOp>& load_op);
+  void OnJobLoaded(const LoadOp& load_op, std::string_view submission);
+  void OnRecordUnreadable(const std::string& job, std::string_view key);
+  void SetItems(Job& job, BatchSubmission submission, const std::set<std::string>& finished_items);
   void FetchRange(RowRange range, std::vector<Row> rows,
                   std::function<void(StoreOutcome, std::vector<Row>)> done);
   void FetchSubmission(const std::string& job, std::vector<Row> rows,
@@ -172,7 +183,6 @@
   absl::Duration StoreNow() const;
   void UpdateStoreClock(const StoreReply& reply);
   void Finish(Job& job);
-  static Job MakeJob(BatchSubmission submission);
   static void RankItems(Job& job);
   Job* FindJob(const std::string& id);
   Item* FindRun(const std::string& job, std::size_t item, std::uint64_t run);
@@ -186,12 +196,14 @@
   bool accepting_ = true;
   bool dispatching_ = false;
   std::uint64_t next_run_ = 1;
+  std::uint64_t next_load_ = 1;
   StoreClock store_clock_;
   ModelOwners* owners_ = nullptr;
   absl::Time store_unreachable_at_ = absl::InfinitePast();  // last call of NoteStoreUnreachable
   absl::Time read_failed_at_ = absl::InfinitePast();  // last NoteStoreUnreachable or failed read of results
   std::map<std::string, std::unique_ptr<Job>> jobs_;
-  std::set<std::string> taking_over_;
+  std::set<std::string> taking_over_;           // jobs whose lease is being read or written
+  std::map<std::string, absl::Time> given_up_;  // jobs that this host could not read, and when it gave up
   double events_per_hint_ = 0;  // moving average over complete texts of events / length hint; 0: none yet
   ScoringCalls scoring_;
 };
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -87,10 +87,12 @@
   reply.store_time = loop.Now() - absl::UnixEpoch() - absl::Hours(1);
   const auto partition = rows.find(range.table + "/" + range.partition);
   if (partition == rows.end()) return reply;
+  std::size_t bytes = 0;
   for (auto it = partition->second.lower_bound(range.from); it != partition->second.end(); ++it) {
     if (!range.to.empty() && it->first >= range.to) break;
     const int max_rows = range.limit > 0 ? std::min(range.limit, max_reply_rows) : max_reply_rows;
-    if (static_cast<int>(reply.rows.size()) >= max_rows) {
+    bytes += it->second.value.size();
+    if (static_cast<int>(reply.rows.size()) >= max_rows || (bytes > max_reply_bytes && !reply.rows.empty())) {
       reply.has_more = true;
       break;
     }
@@ -107,12 +109,32 @@
     return;
   }
   store_.loop.After(delay + extra_delay, [this, make = std::move(make), done = std::move(done)] {
-    const StoreReply reply = make();
+    Transfer(make(), done);
+  });
+}
+
+void StorePort::Transfer(StoreReply reply, const StoreCallback& done) {
+  std::size_t bytes = 0;
+  for (const Row& it : reply.rows) bytes += it.value.size();
+  bytes_received += static_cast<std::int64_t>(bytes);
+  if (bytes_per_second <= 0) {
+    if (!dead) done(reply);
+    return;
+  }
+  link_free_at_ = std::max(link_free_at_, store_.loop.Now()) +
+                  absl::Seconds(static_cast<double>(bytes) / bytes_per_second);
+  store_.loop.After(link_free_at_ - store_.loop.Now(), [this, reply = std::move(reply), done] {
     if (!dead) done(reply);
   });
 }
 
 void StorePort::Get(const RowRange& range, StoreCallback done) {
+  if (loses_read && loses_read(range)) {
+    store_.loop.After(kReplyTimeout, [this, done] {
+      if (!dead) done(StoreReply());
+    });
+    return;
+  }
   Answer(
       kStoreDelay, [this, range] { return store_.Range(range); }, std::move(done));
 }
--- a/tests/serving_fakes.h
+++ b/tests/serving_fakes.h
@@ -56,7 +56,8 @@
   std::map<std::string, std::string> objects;
   std::int64_t version = 0;
   std::int64_t commits = 0;
-  int max_reply_rows = 500;  // of one range read
+  int max_reply_rows = 500;               // of one range read
+  std::size_t max_reply_bytes = 1 << 20;  // of the rows of one range read
 };
 
 class StorePort : public Store {
@@ -73,12 +74,19 @@
   std::function<StoreFault(const Transaction&)> commit_fault;  // empty: none
   bool disconnected = false;                                   // calls do not arrive and get no reply
   absl::Duration extra_delay;                                  // of each reply
-  bool history_gone = false;                                   // Watch replies kHistoryTrimmed
-  bool dead = false;                                           // the host has crashed: replies are dropped
+  std::function<bool(const RowRange&)> loses_read;             // true: the read gets no reply; empty: none
+  // Of the host's link from the store; 0: unlimited. Replies queue for the link, each with the bytes of its
+  // rows' values.
+  double bytes_per_second = 0;
+  std::int64_t bytes_received = 0;  // of rows' values, over all replies
+  bool history_gone = false;        // Watch replies kHistoryTrimmed
+  bool dead = false;                // the host has crashed: replies are dropped
 
  private:
   void Answer(absl::Duration delay, std::function<StoreReply()> make, StoreCallback done);
+  void Transfer(StoreReply reply, const StoreCallback& done);
   FakeStore& store_;
+  absl::Time link_free_at_ = absl::InfinitePast();
 };
 
 struct FakeEngine {
