Read no results when a host takes a batch job over

Cause: no record names the finished items but the results themselves, which hold the texts.

Change: the lease row carries a bitmap of the items whose results are stored, written in the same transaction as the results. A new owner reads the submission only. A lease without it, by a host of an earlier version, shows fewer items than results, and the results are read as before.

--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -64,6 +64,11 @@
   std::string score;  // signature of the scoring answer
 };
 
+struct BatchService::PendingResult {
+  std::size_t item = 0;  // its index
+  ItemResult result;
+};
+
 struct BatchService::Job {
   BatchSubmission submission;  // only its id while `loading`
   bool loading = true;     // the lease is this host's, but the items have not been read from the store yet
@@ -83,7 +88,7 @@
   std::uint64_t engines_generation = 0;  // generation of the directory in which `engines` was computed
   absl::Time engines_until = absl::InfinitePast();
   std::map<std::string, std::string> group_upstream;  // by group, the upstream that has processed its prompt
-  std::deque<ItemResult> pending;                     // results that are not committed yet
+  std::deque<PendingResult> pending;                  // results that are not committed yet
   std::optional<Transaction> attempt;  // write in progress; retried unchanged until its outcome is known
   BatchLease attempt_lease;
   std::size_t attempt_results = 0;
--- a/src/serving/batch_load.cc
+++ b/src/serving/batch_load.cc
@@ -8,6 +8,12 @@
 #include "serving/batch_job.h"
 
 namespace oleander::serving {
+namespace {
+
+// False for a lease that a host without bitmaps has written.
+bool RecordsListedItems(const BatchLease& lease) { return CountItems(lease.listed_items) == lease.committed; }
+
+}  // namespace
 
 // Reads the items of an owned job.
 struct BatchService::LoadOp {
@@ -75,7 +81,9 @@
   load_op->job = job.submission.id;
   load_op->id = job.load = next_load_++;
   load_op->started = load_op->last_progress = loop_.Now();
-  LoadRows(load_op, {std::string(kBatchTable), load_op->job, SubmissionKey(), std::string(kEndedKey), 0});
+  // The results have the texts of all finished items, many times the size of the submission.
+  const std::string_view end = RecordsListedItems(job.lease) ? kSubmissionEnd : kEndedKey;
+  LoadRows(load_op, {std::string(kBatchTable), load_op->job, SubmissionKey(), std::string(end), 0});
 }
 
 // Returns the job if this host still owns it and has not read it anew since.
@@ -159,9 +167,30 @@
     OnRecordUnreadable(load_op.job, SubmissionKey());
     return;
   }
-  std::set<std::string> finished_items;
+  std::string listed_items;
+  if (RecordsListedItems(job.lease)) {
+    listed_items = job.lease.listed_items;
+  } else {
+    const std::optional<std::string> found = FindListedItems(load_op, *submission);
+    if (!found) return;
+    listed_items = *found;
+  }
   std::size_t bytes_read = load_op.submission.size();
   for (const Row& it : load_op.rows) bytes_read += it.value.size();
+  LogEventLine(LogLevel::kInfo, LogEvent::kBatchLoaded,
+               {{"job", load_op.job},
+                {"rows", load_op.rows.size()},
+                {"bytes", bytes_read},
+                {"listed", CountItems(listed_items)},
+                {"ms", absl::ToInt64Milliseconds(loop_.Now() - load_op.started)},
+                {"lease_left_ms", absl::ToInt64Milliseconds(job.lease.valid_until - StoreNow())}});
+  SetItems(job, std::move(*submission), listed_items);
+}
+
+// Bitmap of the items whose results were read; nullopt: one of them is unreadable, and the job is given up.
+std::optional<std::string> BatchService::FindListedItems(const LoadOp& load_op,
+                                                         const BatchSubmission& submission) {
+  std::set<std::string> ids;
   for (std::size_t at = 0; at < load_op.rows.size();) {
     const std::string& key = load_op.rows[at].id.key;
     if (!ResultPosition(key)) {
@@ -172,18 +201,15 @@
     const std::optional<ItemResult> result = value ? DecodeResult(*value) : std::nullopt;
     if (!result) {
       OnRecordUnreadable(load_op.job, key);
-      return;
+      return std::nullopt;
     }
-    finished_items.insert(result->item);
+    ids.insert(result->item);
   }
-  LogEventLine(LogLevel::kInfo, LogEvent::kBatchLoaded,
-               {{"job", load_op.job},
-                {"rows", load_op.rows.size()},
-                {"bytes", bytes_read},
-                {"listed", finished_items.size()},
-                {"ms", absl::ToInt64Milliseconds(loop_.Now() - load_op.started)},
-                {"lease_left_ms", absl::ToInt64Milliseconds(job.lease.valid_until - StoreNow())}});
-  SetItems(job, std::move(*submission), finished_items);
+  std::string listed;
+  for (std::size_t it = 0; it < submission.items.size(); ++it) {
+    if (ids.contains(submission.items[it].id)) AddItem(listed, it);
+  }
+  return listed;
 }
 
 // Gives up a job that this host cannot decode. Its lease expires, so that a host with other software may try.
--- a/src/serving/batch_records.cc
+++ b/src/serving/batch_records.cc
@@ -1,6 +1,8 @@
 #include "serving/batch_records.h"
 
+#include <bit>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -12,7 +14,8 @@
 using Json = nlohmann::json;
 
 constexpr int kSubmissionFormat = 1;
-constexpr std::size_t kWorkspaceField = 9;  // of a submission; records without workspaces do not have it
+constexpr std::size_t kListedItemsField = 6;  // of a lease
+constexpr std::size_t kWorkspaceField = 9;    // of a submission; records without workspaces do not have it
 // Indices of fields that records of versions before 0.3 do not have.
 constexpr std::size_t kScoringField = 7;          // of an item
 constexpr std::size_t kScoreField = 4;            // of a result
@@ -51,9 +54,11 @@
 }  // namespace
 
 std::string EncodeLease(const BatchLease& lease) {
-  return Pack(Json::array({lease.owner, absl::ToInt64Milliseconds(lease.valid_until),
-                           absl::ToInt64Milliseconds(lease.accepted_at), lease.committed, lease.total,
-                           lease.finished}));
+  Json record = Json::array({lease.owner, absl::ToInt64Milliseconds(lease.valid_until),
+                             absl::ToInt64Milliseconds(lease.accepted_at), lease.committed, lease.total,
+                             lease.finished});
+  if (!lease.listed_items.empty()) record.push_back(Binary(lease.listed_items));
+  return Pack(record);
 }
 
 std::optional<BatchLease> DecodeLease(std::string_view bytes) {
@@ -65,10 +70,26 @@
     lease.committed = value.at(3).get<std::int64_t>();
     lease.total = value.at(4).get<std::int64_t>();
     lease.finished = value.at(5).get<bool>();
+    if (value.size() > kListedItemsField) lease.listed_items = Text(value[kListedItemsField]);
     return lease;
   });
 }
 
+void AddItem(std::string& bitmap, std::size_t item) {
+  if (bitmap.size() <= item / 8) bitmap.resize(item / 8 + 1, '\0');
+  bitmap[item / 8] = static_cast<char>(static_cast<unsigned char>(bitmap[item / 8]) | 1U << item % 8);
+}
+
+bool HasItem(std::string_view bitmap, std::size_t item) {
+  return item / 8 < bitmap.size() && (static_cast<unsigned char>(bitmap[item / 8]) >> item % 8 & 1U) != 0;
+}
+
+std::int64_t CountItems(std::string_view bitmap) {
+  return std::accumulate(bitmap.begin(), bitmap.end(), std::int64_t{0}, [](std::int64_t n, char it) {
+    return n + std::popcount(static_cast<unsigned char>(it));
+  });
+}
+
 std::string EncodeSubmission(const BatchSubmission& submission) {
   Json items = Json::array();
   for (const BatchItem& it : submission.items) {
--- a/src/serving/batch_records.h
+++ b/src/serving/batch_records.h
@@ -17,8 +17,9 @@
 
 inline constexpr std::string_view kBatchTable = "batch";
 inline constexpr std::string_view kPartialTable = "partial";
-inline constexpr std::string_view kEndedKey = "x";  // the row exists once the job has been ended
-inline constexpr std::string_view kLeaseKey = "z";  // sorts last, so that a read of results includes it
+inline constexpr std::string_view kSubmissionEnd = "b";  // after the keys of the submission
+inline constexpr std::string_view kEndedKey = "x";       // the row exists once the job has been ended
+inline constexpr std::string_view kLeaseKey = "z";       // sorts last, so that a read of results includes it
 inline constexpr std::string_view kAllKeysEnd = "~";
 
 // The lease row of a job names the host that runs it. Every write of the owner is conditional on the version
@@ -30,10 +31,18 @@
   std::int64_t committed = 0;  // results written to the store; their positions are fixed
   std::int64_t total = 0;      // items
   bool finished = false;       // all results are written
+  // Bitmap of the items whose results are written, by their index in the submission, so that a new owner need
+  // not read the results; empty: not recorded.
+  std::string listed_items;
 };
 std::string EncodeLease(const BatchLease& lease);
 std::optional<BatchLease> DecodeLease(std::string_view bytes);
 
+// Bitmaps of items: item i is bit i % 8 of byte i / 8.
+void AddItem(std::string& bitmap, std::size_t item);
+bool HasItem(std::string_view bitmap, std::size_t item);
+std::int64_t CountItems(std::string_view bitmap);
+
 std::string EncodeSubmission(const BatchSubmission& submission);
 std::optional<BatchSubmission> DecodeSubmission(std::string_view bytes);
 
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -40,9 +40,8 @@
 
 }  // namespace
 
-// Begins to run a job whose items are known now.
-void BatchService::SetItems(Job& job, BatchSubmission submission,
-                            const std::set<std::string>& finished_items) {
+// Begins to run a job whose items are known now. `listed_items`: bitmap of those with a stored result.
+void BatchService::SetItems(Job& job, BatchSubmission submission, std::string_view listed_items) {
   job.loading = false;
   job.submission = std::move(submission);
   job.items.resize(job.submission.items.size());
@@ -50,7 +49,7 @@
     Item& item = job.items[it];
     item.spec = std::move(job.submission.items[it]);
     item.index = it;
-    if (finished_items.contains(item.spec.id)) item.phase = Phase::kFinished;
+    if (HasItem(listed_items, it)) item.phase = Phase::kFinished;
     job.order.push_back(it);
   }
   job.submission.items.clear();
@@ -771,7 +770,7 @@
   }
   item.output.clear();
   if (item.has_partial_row) job.partials_to_remove.push_back(item.spec.id);
-  job.pending.push_back(std::move(result));
+  job.pending.push_back({item.index, std::move(result)});
 }
 
 // ---- Slow and late runs -----------------------------------------------------------------------------------
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -393,7 +393,7 @@
     done(BatchOutcome::kNotFound, "");
     return;
   }
-  FetchRange({std::string(kBatchTable), job, SubmissionKey(), "b", 0}, {},
+  FetchRange({std::string(kBatchTable), job, SubmissionKey(), std::string(kSubmissionEnd), 0}, {},
              [this, job, item, done](StoreOutcome outcome, std::vector<Row> rows) {
                if (outcome != StoreOutcome::kOk) {
                  done(BatchOutcome::kStoreUnreachable, "");
@@ -474,6 +474,18 @@
 
 // ---- Results ----------------------------------------------------------------------------------------------
 
+// Bitmap of the items whose results are stored.
+std::string BatchService::ListedItems(const Job& job) {
+  if (job.loading) return job.lease.listed_items;
+  std::string pending;
+  for (const PendingResult& it : job.pending) AddItem(pending, it.item);
+  std::string listed;
+  for (const Item& it : job.items) {
+    if (it.phase == Phase::kFinished && !HasItem(pending, it.index)) AddItem(listed, it.index);
+  }
+  return listed;
+}
+
 void BatchService::CommitResults(Job& job) {
   if (job.commit_in_flight) return;
   const std::string& id = job.submission.id;
@@ -485,10 +497,11 @@
                               {{std::string(kBatchTable), id, std::string(kEndedKey)}, 0}};
     std::size_t bytes = 0;
     std::size_t count = 0;
-    for (const ItemResult& it : job.pending) {
+    lease.listed_items = ListedItems(job);
+    for (const PendingResult& it : job.pending) {
       std::vector<RowWrite> rows =
           SplitIntoRows(kBatchTable, id, ResultKey(lease.committed + static_cast<std::int64_t>(count)),
-                        EncodeResult(it), settings_.max_row_bytes);
+                        EncodeResult(it.result), settings_.max_row_bytes);
       std::size_t size = 0;
       for (const RowWrite& row : rows) size += row.value.size();
       if (count > 0 && (bytes + size > settings_.max_commit_bytes ||
@@ -497,6 +510,7 @@
       }
       bytes += size;
       ++count;
+      AddItem(lease.listed_items, it.item);
       for (RowWrite& row : rows) transaction.writes.push_back(std::move(row));
     }
     lease.committed += static_cast<std::int64_t>(count);
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -109,6 +109,7 @@
  private:
   enum class Phase { kWaiting, kRunning, kScoring, kFinished };
   struct Item;
+  struct PendingResult;
   struct Job;
   struct SubmitOp;
   struct ReadOp;
@@ -128,8 +129,10 @@
   void RetryLoad(const std::shared_ptr<LoadOp>& load_op, std::function<void()> step);
   void OnRowsLoaded(const std::shared_ptr<LoadOp>& load_op);
   void OnJobLoaded(const LoadOp& load_op, std::string_view submission);
+  std::optional<std::string> FindListedItems(const LoadOp& load_op, const BatchSubmission& submission);
   void OnRecordUnreadable(const std::string& job, std::string_view key);
-  void SetItems(Job& job, BatchSubmission submission, const std::set<std::string>& finished_items);
+  void SetItems(Job& job, BatchSubmission submission, std::string_view listed_items);
+  static std::string ListedItems(const Job& job);
   void FetchRange(RowRange range, std::vector<Row> rows,
                   std::function<void(StoreOutcome, std::vector<Row>)> done);
   void FetchSubmission(const std::string& job, std::vector<Row> rows,
--- a/tests/batch_takeover_test.cc
+++ b/tests/batch_takeover_test.cc
@@ -105,6 +105,75 @@
   EXPECT_EQ(engines.runs.size(), 12u);
 }
 
+// Guards against a takeover that takes as long as the results of the job are large.
+TEST_F(BatchTakeoverTest, ANewOwnerReadsNoResults) {
+  RunAndKillOwner();
+  TestHost& second = AddHost("h2");
+  loop.RunFor(absl::Seconds(2));
+  const std::int64_t before = second.store.bytes_received;
+  second.batches->Read(kJob, 56, absl::ZeroDuration(), [](BatchOutcome, const BatchPage&) {});
+  loop.RunFor(absl::Milliseconds(200));
+  EXPECT_EQ(RunningItems(), 8);
+  // Submission 3.6 KB, texts of running items 7 KB; the results have 30 KB.
+  EXPECT_LT(second.store.bytes_received - before, 15000);
+  EndAllTexts();
+  ExpectCompleteResults(ReadAll(), 64);
+}
+
+// Guards against items that are run again, or never, after a lease was written by a host of an earlier
+// version, which does not record the listed items.
+TEST_F(BatchTakeoverTest, ALeaseWithoutListedItemsIsCompletedFromTheResults) {
+  RunAndKillOwner();
+  BatchLease lease = *Lease();
+  EXPECT_EQ(CountItems(lease.listed_items), 56);
+  lease.listed_items.clear();
+  store.rows[absl::StrCat("batch/", kJob)][std::string(kLeaseKey)].value = EncodeLease(lease);
+  const std::size_t runs = engines.runs.size();
+  TestHost& second = AddHost("h2");
+  KeepReading(second);
+  loop.RunFor(absl::Seconds(3));
+  EXPECT_EQ(RunningItems(), 8);
+  EXPECT_EQ(engines.runs.size(), runs + 8);
+  loop.RunFor(absl::Seconds(3));
+  EndAllTexts();
+  EXPECT_EQ(CountItems(Lease()->listed_items), 64);
+  ExpectCompleteResults(ReadAll(), 64);
+}
+
+// Guards against an item that is taken as listed although its result waits for the store, or the reverse: the
+// bitmap of each lease that was written names the items of the results written so far.
+TEST_F(BatchTakeoverTest, EachLeaseNamesTheItemsOfTheStoredResults) {
+  TestHost& first = AddHost("h1");
+  int writes = 0;
+  first.store.commit_fault = [&writes](const Transaction&) {
+    ++writes;
+    return writes % 7 == 3   ? StoreFault::kLoseAnswer
+           : writes % 5 == 2 ? StoreFault::kRefuse
+                             : StoreFault::kNone;
+  };
+  const BatchSubmission job = MakeLargeJob();
+  for (std::size_t it = 0; it < job.items.size(); ++it)  // so that they end one after the other
+    engines.event_counts[job.items[it].id] = 20 + static_cast<int>(7 * it % 64);
+  const std::shared_ptr<std::optional<BatchOutcome>> outcome = Submit(first, job);
+  std::set<std::int64_t> counts;
+  for (int step = 0; step < 1500; ++step) {
+    loop.RunFor(absl::Milliseconds(20));
+    const std::optional<BatchLease> lease = Lease();
+    if (!lease || !counts.insert(lease->committed).second) continue;
+    std::set<std::string> listed;
+    for (std::size_t it = 0; it < job.items.size(); ++it) {
+      if (HasItem(lease->listed_items, it)) listed.insert(job.items[it].id);
+    }
+    std::set<std::string> stored;
+    for (const std::pair<const std::string, Row>& it : store.rows[absl::StrCat("batch/", kJob)]) {
+      if (ResultPosition(it.first)) stored.insert(DecodeResult(it.second.value.substr(1))->item);
+    }
+    EXPECT_EQ(listed, stored) << lease->committed << " results";
+  }
+  EXPECT_TRUE(counts.contains(64));
+  EXPECT_GT(counts.size(), 3u);
+}
+
 // Guards against a takeover that is lost with one answer of the store.
 TEST_F(BatchTakeoverTest, LostAnswersDelayANewOwnerAndDoNotReplaceIt) {
   RunAndKillOwner();
