Take a batch job over also from reads that end before its lease

Cause: a read whose page of results fills an answer of the store gets the lease by a second call, and that path looked only at the number of items. So only readers within a page of the end noticed that no host ran the job; a trainer that has fallen behind, the only reader of most jobs, did not.

Change: both paths look for an expired lease (TakeOverIfExpired). The lease and the end marker are found among rows in one function, FindJobState, in place of four copies. A result that cannot be decoded no longer hides the lease behind it, which read as 404.

--- a/src/serving/batch_load.cc
+++ b/src/serving/batch_load.cc
@@ -10,6 +10,9 @@
 namespace oleander::serving {
 namespace {
 
+constexpr absl::Duration kTakeOverMargin =
+    absl::Milliseconds(150);  // allows for the error of the owner's estimate of the store's time
+
 // False for a lease that a host without bitmaps has written.
 bool RecordsListedItems(const BatchLease& lease) { return CountItems(lease.listed_items) == lease.committed; }
 
@@ -26,6 +29,16 @@
   std::size_t object_bytes = 0;  //
 };
 
+// Takes a job over that a read has shown, if no host runs it.
+void BatchService::TakeOverIfExpired(const std::string& job, const JobState& state,
+                                     absl::Duration store_time) {
+  // After an outage of the store all leases have expired. The owners get time to renew them first.
+  const bool store_settled = loop_.Now() - read_failed_at_ >= settings_.min_store_uptime;
+  if (!state.ended && !state.lease->finished && store_settled &&
+      store_time > state.lease->valid_until + kTakeOverMargin)
+    TakeOver(job, *state.lease, state.lease_version);
+}
+
 void BatchService::TakeOver(const std::string& id, const BatchLease& expired, std::int64_t lease_version) {
   if (!accepting_ || !store_clock_.known || FindJob(id) != nullptr) return;
   std::erase_if(given_up_, [this](const std::pair<const std::string, absl::Time>& it) {
@@ -58,21 +71,14 @@
              [this, id](const StoreReply& reply) {
                UpdateStoreClock(reply);
                taking_over_.erase(id);
-               std::optional<BatchLease> lease;
-               std::int64_t version = 0;
-               bool ended = false;
-               for (const Row& it : reply.rows) {
-                 ended = ended || it.id.key == kEndedKey;
-                 if (it.id.key != kLeaseKey) continue;
-                 lease = DecodeLease(it.value);
-                 version = it.version;
-               }
+               const JobState state = FindJobState(reply.rows);
                // The read failed, or the job is over or has another owner by now. If no host runs it, a read
                // takes it over when the lease has expired.
-               if (reply.outcome != StoreOutcome::kOk || ended || !lease || lease->finished ||
-                   lease->owner != settings_.incarnation || !accepting_ || FindJob(id) != nullptr)
+               if (reply.outcome != StoreOutcome::kOk || state.ended || !state.lease ||
+                   state.lease->finished || state.lease->owner != settings_.incarnation || !accepting_ ||
+                   FindJob(id) != nullptr)
                  return;
-               LoadJob(AddOwnedJob(id, *lease, version));
+               LoadJob(AddOwnedJob(id, *state.lease, state.lease_version));
              });
 }
 
--- a/src/serving/batch_records.cc
+++ b/src/serving/batch_records.cc
@@ -75,6 +75,17 @@
   });
 }
 
+JobState FindJobState(const std::vector<Row>& rows) {
+  JobState state;
+  for (const Row& it : rows) {
+    if (it.id.key == kEndedKey) state.ended = true;
+    if (it.id.key != kLeaseKey) continue;
+    state.lease = DecodeLease(it.value);
+    state.lease_version = it.version;
+  }
+  return state;
+}
+
 void AddItem(std::string& bitmap, std::size_t item) {
   if (bitmap.size() <= item / 8) bitmap.resize(item / 8 + 1, '\0');
   bitmap[item / 8] = static_cast<char>(static_cast<unsigned char>(bitmap[item / 8]) | 1U << item % 8);
--- a/src/serving/batch_records.h
+++ b/src/serving/batch_records.h
@@ -38,6 +38,14 @@
 std::string EncodeLease(const BatchLease& lease);
 std::optional<BatchLease> DecodeLease(std::string_view bytes);
 
+// The lease of a job and its end marker, as found in rows of the job's partition.
+struct JobState {
+  std::optional<BatchLease> lease;  // nullopt: not among the rows, or unreadable
+  std::int64_t lease_version = 0;   //
+  bool ended = false;               //
+};
+JobState FindJobState(const std::vector<Row>& rows);
+
 // Bitmaps of items: item i is bit i % 8 of byte i / 8.
 void AddItem(std::string& bitmap, std::size_t item);
 bool HasItem(std::string_view bitmap, std::size_t item);
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -10,8 +10,6 @@
 namespace oleander::serving {
 namespace {
 
-constexpr absl::Duration kTakeOverMargin =
-    absl::Milliseconds(150);  // allows for the error of the owner's estimate of the store's time
 constexpr absl::Duration kReadRetryTimeout =
     absl::Milliseconds(900);  // retries of a read while the store fails
 constexpr absl::Duration kHandOverTimeout = absl::Milliseconds(1500);
@@ -320,58 +318,44 @@
     }
     BatchPage page;
     page.next = read_op->after;
-    std::optional<BatchLease> lease;
-    std::int64_t lease_version = 0;
-    bool ended = false;
     std::size_t bytes = 0;
     for (std::size_t at = 0; at < reply.rows.size();) {
-      const Row& row = reply.rows[at];
-      if (row.id.key == kLeaseKey) {
-        lease = DecodeLease(row.value);
-        lease_version = row.version;
-        ++at;
-      } else if (row.id.key == kEndedKey) {
-        ended = true;
-        ++at;
-      } else if (ResultPosition(row.id.key) == page.next && bytes < settings_.max_page_bytes) {
-        const std::optional<std::string> value = JoinRows(reply.rows, at);
-        std::optional<ItemResult> result = value ? DecodeResult(*value) : std::nullopt;
-        if (!result) break;  // its last rows did not fit in this answer of the store
-        if (!page.results.empty() && bytes + value->size() > settings_.max_page_bytes) {
-          bytes = settings_.max_page_bytes;
-          continue;
-        }
-        bytes += value->size();
-        page.results.push_back(std::move(*result));
-        ++page.next;
-      } else {
+      if (ResultPosition(reply.rows[at].id.key) != page.next || bytes >= settings_.max_page_bytes) {
         ++at;
+        continue;
       }
+      const std::optional<std::string> value = JoinRows(reply.rows, at);
+      std::optional<ItemResult> result = value ? DecodeResult(*value) : std::nullopt;
+      if (!result) break;  // its last rows did not fit in this answer of the store
+      if (!page.results.empty() && bytes + value->size() > settings_.max_page_bytes) break;
+      bytes += value->size();
+      page.results.push_back(std::move(*result));
+      ++page.next;
     }
-    if (!lease && reply.has_more) {
+    const JobState state = FindJobState(reply.rows);
+    if (!state.lease && reply.has_more) {
       // The answer was full before the lease row, which holds the total of the job's items.
       store_.Get(
-          {std::string(kBatchTable), read_op->job, std::string(kLeaseKey), std::string(kAllKeysEnd), 1},
-          [read_op, page](const StoreReply& rest) mutable {
-            const std::optional<BatchLease> found =
-                rest.rows.empty() ? std::nullopt : DecodeLease(rest.rows[0].value);
-            if (found) page.total = found->total;
-            read_op->done(found ? BatchOutcome::kOk : BatchOutcome::kStoreUnreachable, page);
+          {std::string(kBatchTable), read_op->job, std::string(kEndedKey), std::string(kAllKeysEnd), 0},
+          [this, read_op, page](const StoreReply& rest) mutable {
+            UpdateStoreClock(rest);
+            const JobState found = FindJobState(rest.rows);
+            if (found.lease) {
+              page.total = found.lease->total;
+              TakeOverIfExpired(read_op->job, found, rest.store_time);
+            }
+            read_op->done(found.lease ? BatchOutcome::kOk : BatchOutcome::kStoreUnreachable, page);
           });
       return;
     }
-    if (!lease) {
+    if (!state.lease) {
       read_op->done(BatchOutcome::kNotFound, {});
       return;
     }
-    page.total = lease->total;
-    // After an outage of the store all leases have expired. The owners get time to renew them first.
-    const bool store_settled = loop_.Now() - read_failed_at_ >= settings_.min_store_uptime;
-    if (!ended && !lease->finished && store_settled &&
-        reply.store_time > lease->valid_until + kTakeOverMargin) {
-      TakeOver(read_op->job, *lease, lease_version);
-    }
-    const bool no_more_results = ended || (lease->finished && page.next >= lease->committed);
+    page.total = state.lease->total;
+    TakeOverIfExpired(read_op->job, state, reply.store_time);
+    const bool no_more_results =
+        state.ended || (state.lease->finished && page.next >= state.lease->committed);
     if (!page.results.empty() || no_more_results || loop_.Now() >= read_op->wait_until) {
       read_op->done(BatchOutcome::kOk, page);
       return;
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -121,6 +121,7 @@
   // Adds a job whose lease this host holds. The host renews the lease from now on, also while it reads the
   // job's items, which may take longer than a lease.
   Job& AddOwnedJob(const std::string& id, const BatchLease& lease, std::int64_t lease_version);
+  void TakeOverIfExpired(const std::string& job, const JobState& state, absl::Duration store_time);
   void TakeOver(const std::string& job, const BatchLease& expired, std::int64_t lease_version);
   void LoadJob(Job& job);
   void LoadRows(const std::shared_ptr<LoadOp>& load_op, RowRange range);
--- a/src/serving/batch_sweep.cc
+++ b/src/serving/batch_sweep.cc
@@ -62,23 +62,15 @@
                std::function<void()> next = [this, jobs = std::move(jobs), done = std::move(done)] {
                  SweepJobs(jobs, done);
                };
-               std::optional<BatchLease> lease;
-               std::int64_t version = 0;
-               bool ended = false;
-               for (const Row& it : reply.rows) {
-                 ended = ended || it.id.key == kEndedKey;
-                 if (it.id.key != kLeaseKey) continue;
-                 lease = DecodeLease(it.value);
-                 version = it.version;
-               }
-               if (reply.outcome != StoreOutcome::kOk || !lease) {
+               const JobState state = FindJobState(reply.rows);
+               if (reply.outcome != StoreOutcome::kOk || !state.lease) {
                  next();
                  return;
                }
-               const absl::Duration age = StoreNow() - lease->accepted_at;
-               const bool over = (ended || lease->finished) && age >= settings_.retention;
+               const absl::Duration age = StoreNow() - state.lease->accepted_at;
+               const bool over = (state.ended || state.lease->finished) && age >= settings_.retention;
                if (over || age >= settings_.max_retention) {
-                 RemoveJob(job, version, std::move(next));
+                 RemoveJob(job, state.lease_version, std::move(next));
                } else {
                  next();
                }
--- a/tests/batch_takeover_test.cc
+++ b/tests/batch_takeover_test.cc
@@ -174,6 +174,31 @@
   EXPECT_GT(counts.size(), 3u);
 }
 
+// Guards against a job without an owner that only readers of its last results notice: readers that are
+// further behind get full answers of the store, which end before the lease.
+TEST_F(BatchTakeoverTest, AReaderThatIsFarBehindTakesTheJobOver) {
+  store.max_reply_bytes = 2500;
+  RunAndKillOwner();
+  TestHost& second = AddHost("h2");
+  loop.RunFor(absl::Seconds(2));
+  second.batches->Read(kJob, 0, absl::ZeroDuration(), [](BatchOutcome, const BatchPage&) {});
+  loop.RunFor(absl::Milliseconds(200));
+  EXPECT_EQ(Lease()->owner, "h2");
+  EXPECT_EQ(RunningItems(), 8);
+}
+
+// The same for a job that was ended: a reader that is far behind must not take it over.
+TEST_F(BatchTakeoverTest, AReaderThatIsFarBehindLeavesAnEndedJobAlone) {
+  store.max_reply_bytes = 2500;
+  RunAndKillOwner();
+  TestHost& second = AddHost("h2");
+  second.batches->End(kJob, [](BatchOutcome) {});
+  loop.RunFor(absl::Seconds(2));
+  second.batches->Read(kJob, 0, absl::ZeroDuration(), [](BatchOutcome, const BatchPage&) {});
+  loop.RunFor(absl::Milliseconds(200));
+  EXPECT_EQ(Lease()->owner, "h1");
+}
+
 // Guards against a takeover that is lost with one answer of the store.
 TEST_F(BatchTakeoverTest, LostAnswersDelayANewOwnerAndDoNotReplaceIt) {
   RunAndKillOwner();
