Use all services of a split route for the items of batch jobs

Cause: placement, moves, load queries, paces and the demand of a job took the first service of its route as the only one; neither the other services nor the weights were read. The other services were never weighed and refused.

Change: RankServices orders the services of a route for a group by weighted rendezvous hashing: a random choice by the weights that all hosts agree on, and of which only the part of a lost service moves. PickService decides for each item: its own service; the next one at once if the own one has no engine that could run it; and after 2 s if the own one is full and the other less than half full. Runs move within their service, but for engines that leave. Event 534 names the service, and in `instead_of` the one by the weights. Lookups still choose one service (ChooseService, now the first of the same order).

--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -64,6 +64,25 @@
   std::string score;  // signature of the scoring answer
 };
 
+// The engines of one service that a job uses.
+struct BatchService::EngineSet {
+  std::vector<UpstreamState*> engines;
+  std::uint64_t generation = 0;  // of the directory, when it was computed
+  absl::Time valid_until = absl::InfinitePast();
+};
+
+// What one pass over the items of a job knows of the engines of one service.
+struct BatchService::ServicePass {
+  std::vector<UpstreamState*> engines;  //
+  std::optional<PlacementCosts> costs;  // for items of any software version; computed when first needed
+  double median_pace_ms = 0;            //
+  bool loads_reported = false;          // by any of the engines
+  bool can_run = false;                 // see ServiceRoom; for items of any software version
+  bool full = false;                    // no free slot for items of any software version
+  int slots = 0;                        //
+  int taken = 0;                        // of the slots
+};
+
 struct BatchService::PendingResult {
   std::size_t item = 0;  // its index
   ItemResult result;
@@ -84,9 +103,10 @@
   absl::Time load_queries_until = absl::InfinitePast();  // placement waits for them no longer than this
   bool frozen = false;                                   // no run is started
   bool handing_over = false;
-  std::vector<UpstreamState*> engines;   // the engines that the job uses
-  std::uint64_t engines_generation = 0;  // generation of the directory in which `engines` was computed
-  absl::Time engines_until = absl::InfinitePast();
+  absl::Time ready_at;                                             // when its first items could be placed
+  std::map<std::string, EngineSet> engines;                        // by service
+  std::map<std::string, std::vector<std::string>> group_services;  // by group, as RankServices returns them
+  std::int64_t group_services_policy = 0;                          // version of the policy that they rest on
   std::map<std::string, std::string> group_upstream;  // by group, the upstream that has processed its prompt
   std::deque<PendingResult> pending;                  // results that are not committed yet
   std::optional<Transaction> attempt;  // write in progress; retried unchanged until its outcome is known
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -92,8 +92,9 @@
 void BatchService::LoadPartials(Job& job) {
   const std::string id = job.submission.id;
   const Route* const known_route = directory_.FindRoute(job.submission.host, job.submission.path);
-  if (known_route != nullptr && !known_route->services.empty())
-    ReadPaces(known_route->services.front().service);
+  if (known_route != nullptr) {
+    for (const std::string& it : RankServices(*known_route, "")) ReadPaces(it);
+  }
   QueryLoads(job);
   store_.Get(
       {std::string(kPartialTable), PartialPartition(job), "", "", 0}, [this, id](const StoreReply& reply) {
@@ -102,6 +103,7 @@
         if (found == nullptr) return;
         Job& job = *found;
         job.partials_read = true;
+        job.ready_at = loop_.Now();
         std::map<std::string, Item*> by_id;
         for (Item& it : job.items) by_id[it.spec.id] = &it;
         const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
@@ -254,19 +256,21 @@
 // Publishes the measured paces, because the owner may change with each step.
 void BatchService::WritePaces(Job& job) {
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
-  if (route == nullptr || route->services.empty()) return;
-  const std::string service = route->services.front().service;
-  std::map<std::string, double> paces;
-  bool measured = false;
-  for (const UpstreamState* it : directory_.Usable(service)) {
-    if (it->pace_ms > 0) paces[it->entry.id] = it->pace_ms;
-    measured = measured || it->pace_measured_here;
+  if (route == nullptr) return;
+  for (const std::string& service : RankServices(*route, "")) {
+    std::map<std::string, double> paces;
+    bool measured = false;
+    for (const UpstreamState* it : directory_.Usable(service)) {
+      if (it->pace_ms > 0) paces[it->entry.id] = it->pace_ms;
+      measured = measured || it->pace_measured_here;
+    }
+    if (!measured) continue;
+    Transaction transaction;
+    transaction.writes = {{{std::string(kPaceTable), service, std::string(kPaceKey)}, EncodePaces(paces)}};
+    store_.Commit(transaction, [this](const StoreReply& reply) {
+      UpdateStoreClock(reply);
+    });  // a failure costs speed only
   }
-  if (!measured) return;
-  Transaction transaction;
-  transaction.writes = {{{std::string(kPaceTable), service, std::string(kPaceKey)}, EncodePaces(paces)}};
-  store_.Commit(transaction,
-                [this](const StoreReply& reply) { UpdateStoreClock(reply); });  // a failure costs speed only
 }
 
 void BatchService::ReadPaces(const std::string& service) {
@@ -336,31 +340,102 @@
   return choice;
 }
 
-// The engines that this host uses for the job. Their number depends on all items of this host's jobs of the
-// model, finished ones included, so that the last items of a step have as many engines to choose from as the
-// first.
-const std::vector<UpstreamState*>& BatchService::EnginesFor(Job& job, const std::string& service) {
+// The services that may run the item, in the order in which they are tried. Items of a group have the same.
+const std::vector<std::string>& BatchService::ServicesFor(Job& job, const Item& item,
+                                                          const Route& route) const {
+  const std::int64_t policy = directory_.PolicyInForce().version;
+  if (job.group_services_policy != policy) job.group_services.clear();
+  job.group_services_policy = policy;
+  const std::string& key = item.spec.group.empty() ? item.spec.id : item.spec.group;
+  std::vector<std::string>& services = job.group_services[key];
+  if (services.empty()) services = RankServices(route, key);
+  return services;
+}
+
+// The engines of a service that this host uses for the job. Their number depends on all items of this host's
+// jobs of the model that the service gets, finished ones included, so that the last items of a step have as
+// many engines to choose from as the first.
+const std::vector<UpstreamState*>& BatchService::EnginesFor(Job& job, const Route& route,
+                                                            const std::string& service) {
   const absl::Time now = loop_.Now();
-  if (job.engines_generation == directory_.Generation() && now < job.engines_until) return job.engines;
+  EngineSet& set = job.engines[service];
+  if (set.generation == directory_.Generation() && now < set.valid_until) return set.engines;
   int items = 0;
   for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) {
     if (it.second->submission.model == job.submission.model)
       items += static_cast<int>(it.second->items.size());
   }
-  job.engines =
+  // The items of a service without upstreams go to the others.
+  double weight = 0;
+  double total = 0;
+  for (const WeightedService& it : route.services) {
+    if (it.service == service) weight += it.weight;
+    if (it.service == service || !directory_.Usable(it.service).empty()) total += it.weight;
+  }
+  if (weight < total) items = static_cast<int>(std::ceil(items * weight / total));
+  set.engines =
       EngineShare(directory_.Usable(service), job.submission.model, job.submission.min_version, items);
-  job.engines_generation = directory_.Generation();
-  job.engines_until = now + kEnginesLifetime;
-  return job.engines;
+  set.generation = directory_.Generation();
+  set.valid_until = now + kEnginesLifetime;
+  return set.engines;
+}
+
+BatchService::ServicePass& BatchService::PassFor(ServicePasses& passes, Job& job, const Route& route,
+                                                 const std::string& service) {
+  const auto known = passes.find(service);
+  if (known != passes.end()) return known->second;
+  ServicePass& pass = passes[service];
+  pass.engines = EnginesFor(job, route, service);
+  pass.median_pace_ms = MedianPace(pass.engines);
+  ItemChoice any;
+  any.model = job.submission.model;
+  any.min_version = job.submission.min_version;
+  any.now = loop_.Now();
+  for (const UpstreamState* it : pass.engines) {
+    pass.can_run = pass.can_run || CanRun(*it, any);
+    pass.loads_reported = pass.loads_reported || it->load_at > absl::InfinitePast();
+    pass.slots += std::max(1, it->entry.slots);
+    pass.taken += EstimateRunning(*it, any.now);
+  }
+  return pass;
+}
+
+UpstreamState* BatchService::PickInService(ServicePass& pass, const ItemChoice& choice) {
+  if (choice.exact_version != 0) return PickForItem(pass.engines, choice);
+  if (!pass.costs) pass.costs = CostsForItems(pass.engines, choice);
+  return PickByCost(*pass.costs, choice);
+}
+
+// The upstream that runs a waiting item now, or nullptr.
+UpstreamState* BatchService::PickForPlacement(ServicePasses& passes, Job& job, const Item& item,
+                                              const Route& route, const ItemChoice& choice) {
+  const bool bound = choice.software || choice.exact_version != 0;  // to some of a service's engines
+  std::vector<ServiceRoom> rooms;
+  std::vector<UpstreamState*> picked;
+  for (const std::string& service : ServicesFor(job, item, route)) {
+    ServicePass& pass = PassFor(passes, job, route, service);
+    const bool can_run =
+        !bound ? pass.can_run
+               : std::any_of(pass.engines.begin(), pass.engines.end(), [&choice](const UpstreamState* it) {
+                   return CanRun(*it, choice) && CanContinue(*it, choice);
+                 });
+    UpstreamState* const upstream = can_run && (bound || !pass.full) ? PickInService(pass, choice) : nullptr;
+    if (!bound && upstream == nullptr) pass.full = true;
+    rooms.push_back({can_run, upstream != nullptr, 2 * pass.taken < pass.slots});
+    picked.push_back(upstream);
+  }
+  const absl::Time ready = std::max({job.ready_at, item.stopped_at, item.not_before});
+  const std::optional<std::size_t> service = PickService(rooms, loop_.Now() - ready);
+  return service ? picked[*service] : nullptr;
 }
 
 // Starts waiting items in the order of their ranks, until no upstream has a free slot.
 void BatchService::PlaceItems(Job& job) {
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
   if (route == nullptr || route->services.empty()) return;
-  const std::vector<UpstreamState*> engines = EnginesFor(job, route->services.front().service);
   const absl::Time now = loop_.Now();
-  std::optional<PlacementCosts> costs;
+  const std::vector<std::string> services = RankServices(*route, "");
+  ServicePasses passes;
   const std::vector<std::size_t> ranks(job.waiting.begin(), job.waiting.end());
   for (const std::size_t rank : ranks) {
     Item& item = job.items[job.order[rank]];
@@ -370,22 +445,27 @@
       DiscardText(item);
     }
     ItemChoice choice = MakePlacement(job, item, *route);
-    if (!costs && choice.exact_version == 0) costs = CostsForItems(engines, choice);
-    UpstreamState* upstream =
-        choice.exact_version != 0 ? PickForItem(engines, choice) : PickByCost(*costs, choice);
+    UpstreamState* upstream = PickForPlacement(passes, job, item, *route, choice);
     if (upstream == nullptr && (choice.software || choice.exact_version != 0)) {
-      if (!DiscardUnlessWaiting(job, item, engines, choice)) continue;
+      if (!DiscardUnlessWaiting(job, item, *route, choice)) continue;
       choice = MakePlacement(job, item, *route);
-      if (!costs) costs = CostsForItems(engines, choice);
-      upstream = PickByCost(*costs, choice);
+      upstream = PickForPlacement(passes, job, item, *route, choice);
     }
     if (upstream == nullptr) {
-      WantPermits(engines, choice, static_cast<int>(job.waiting.size()));
+      const bool all_full = std::all_of(services.begin(), services.end(), [&](const std::string& it) {
+        const ServicePass& pass = PassFor(passes, job, *route, it);
+        return pass.full || !pass.can_run;
+      });
+      if (!all_full) continue;
+      for (const std::string& it : services)
+        WantPermits(passes[it].engines, choice, static_cast<int>(job.waiting.size()));
       return;
     }
     job.group_upstream[item.spec.group] = upstream->entry.id;
     StartRun(job, item, *upstream);
-    if (costs) UpdateCost(*costs, *upstream, choice);
+    ServicePass& pass = passes[upstream->entry.service];
+    ++pass.taken;
+    if (pass.costs) UpdateCost(*pass.costs, *upstream, choice);
   }
 }
 
@@ -406,9 +486,12 @@
 
 // Decides about an item whose text no engine can continue now. Returns true if its text has been discarded,
 // so that any engine can generate it anew; false if the item waits.
-bool BatchService::DiscardUnlessWaiting(const Job& job, Item& item,
-                                        const std::vector<UpstreamState*>& engines,
-                                        const ItemChoice& choice) {
+bool BatchService::DiscardUnlessWaiting(Job& job, Item& item, const Route& route, const ItemChoice& choice) {
+  std::vector<UpstreamState*> engines;
+  for (const std::string& it : ServicesFor(job, item, route)) {
+    const std::vector<UpstreamState*>& of_service = EnginesFor(job, route, it);
+    engines.insert(engines.end(), of_service.begin(), of_service.end());
+  }
   ContinuationWait wait;
   wait.possible = std::any_of(engines.begin(), engines.end(),
                               [&choice](const UpstreamState* it) { return CanContinue(*it, choice); });
@@ -469,8 +552,16 @@
   item.version = 0;
   item.reader = {};
   // Separate events, so that the many first runs of a step do not use up the line budget of the resumed ones.
-  Json line = {
-      {"job", id}, {"item", item.spec.id}, {"upstream", item.upstream}, {"software", item.run_software}};
+  Json line = {{"job", id},
+               {"item", item.spec.id},
+               {"upstream", item.upstream},
+               {"service", upstream.entry.service},
+               {"software", item.run_software}};
+  const Route* const route = directory_.FindRoute(job.submission.host, job.submission.path);
+  if (route != nullptr && !route->services.empty()) {
+    const std::string& own = ServicesFor(job, item, *route).front();
+    if (own != upstream.entry.service) line["instead_of"] = own;
+  }
   if (item.events > 0) {
     line["after_event"] = item.last_event;
     line["text_software"] = item.software ? Json(*item.software) : Json();
@@ -777,16 +868,17 @@
 
 // Queries the load of an upstream. Returns false, without calling `done`, if the last query was too recent or
 // is unanswered, or if the service does not report its load.
-bool BatchService::QueryLoad(const ServiceSpec& spec, UpstreamState& upstream, std::function<void()> done) {
+bool BatchService::QueryLoad(UpstreamState& upstream, std::function<void()> done) {
   const absl::Time now = loop_.Now();
+  const ServiceSpec* const spec = directory_.FindService(upstream.entry.service);
   // An upstream that limits its requests is not asked for its load as well.
-  if (spec.health_path.empty() || upstream.load_query_pending || upstream.request_limit ||
+  if (spec == nullptr || spec->health_path.empty() || upstream.load_query_pending || upstream.request_limit ||
       now - upstream.load_queried_at < kMinLoadQueryInterval)
     return false;
   upstream.load_query_pending = true;
   upstream.load_queried_at = now;
   const std::string id = upstream.entry.id;
-  link_.FetchLoad(upstream.entry, spec.health_path,
+  link_.FetchLoad(upstream.entry, spec->health_path,
                   [this, id, started_ms = upstream.entry.started_ms, now,
                    done = std::move(done)](const std::optional<AnswerHead>& head) {
                     UpstreamState* const found = directory_.Find(id);
@@ -801,18 +893,17 @@
 // that this host does not know of, and a run placed on a full engine waits there for half a second.
 void BatchService::QueryLoads(Job& job) {
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
-  const ServiceSpec* spec = route == nullptr || route->services.empty()
-                                ? nullptr
-                                : directory_.FindService(route->services.front().service);
-  if (spec == nullptr) return;
+  if (route == nullptr) return;
   job.load_queries_until = loop_.Now() + kLoadQueryWait;
-  for (UpstreamState* it : EnginesFor(job, spec->name)) {
-    if (KnownWeightsVersion(*it, job.submission.model) < job.submission.min_version) continue;
-    const bool query_sent = QueryLoad(*spec, *it, [this, id = job.submission.id] {
-      Job* const found = FindJob(id);
-      if (found != nullptr && --found->load_queries_pending == 0) Dispatch();
-    });
-    if (query_sent) ++job.load_queries_pending;
+  for (const std::string& service : RankServices(*route, "")) {
+    for (UpstreamState* it : EnginesFor(job, *route, service)) {
+      if (KnownWeightsVersion(*it, job.submission.model) < job.submission.min_version) continue;
+      const bool query_sent = QueryLoad(*it, [this, id = job.submission.id] {
+        Job* const found = FindJob(id);
+        if (found != nullptr && --found->load_queries_pending == 0) Dispatch();
+      });
+      if (query_sent) ++job.load_queries_pending;
+    }
   }
 }
 
@@ -867,16 +958,9 @@
   if (job.running == 0 || !MayStart(job)) return;
   const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
   if (route == nullptr || route->services.empty()) return;
-  const ServiceSpec* spec = directory_.FindService(route->services.front().service);
-  if (spec == nullptr) return;
   const absl::Time now = loop_.Now();
-  const std::vector<UpstreamState*> usable = EnginesFor(job, spec->name);
-  const double median_pace_ms = MedianPace(usable);
-  const bool loads_reported = std::any_of(usable.begin(), usable.end(), [](const UpstreamState* it) {
-    return it->load_at > absl::InfinitePast();
-  });
   bool moved = false;
-  std::optional<PlacementCosts> costs;
+  ServicePasses passes;
   for (const std::size_t index : job.order) {
     Item& it = job.items[index];
     if (it.phase != Phase::kRunning) continue;
@@ -894,26 +978,34 @@
     progress.events_here = it.events_in_run;
     progress.is_tail = IsTailItem(job, it);
     UpstreamState* const upstream = directory_.Find(it.upstream);
-    const bool must_leave = upstream != nullptr && MustLeave(it, *upstream, median_pace_ms);
+    // A run moves within its service, so that the weights of a split hold.
+    const std::vector<std::string>& services = ServicesFor(job, it, *route);
+    const bool routed = upstream != nullptr && std::find(services.begin(), services.end(),
+                                                         upstream->entry.service) != services.end();
+    ServicePass& pass = PassFor(passes, job, *route, routed ? upstream->entry.service : services.front());
+    const bool must_leave = upstream != nullptr && MustLeave(it, *upstream, pass.median_pace_ms);
     // Saves the search for another engine for most runs.
     if (!must_leave && !progress.is_tail && progress.since_start < kMinRunBeforeMove) continue;
     ItemChoice choice = MakeChoice(job, it, *route);
     choice.excluded = {it.upstream};
-    if (!costs && choice.exact_version == 0) costs = CostsForItems(usable, choice);
-    const std::function<UpstreamState*()> pick = [&] {
-      return choice.exact_version == 0 ? PickByCost(*costs, choice) : PickForItem(usable, choice);
-    };
-    UpstreamState* const other = pick();
+    UpstreamState* other = PickInService(pass, choice);
+    if (other == nullptr && must_leave) {
+      for (const std::string& service : services) {
+        if (other == nullptr) other = PickInService(PassFor(passes, job, *route, service), choice);
+      }
+    }
     if (other == nullptr) continue;
-    progress.gap_ms = upstream == nullptr ? median_pace_ms : ExpectedGap(*upstream, median_pace_ms, now);
-    progress.pace_ms = upstream == nullptr || upstream->pace_ms <= 0 ? median_pace_ms : upstream->pace_ms;
-    progress.load_fresh =
-        !loads_reported || (upstream != nullptr && (upstream->request_limit || LoadIsFresh(*upstream, now)));
+    progress.gap_ms =
+        upstream == nullptr ? pass.median_pace_ms : ExpectedGap(*upstream, pass.median_pace_ms, now);
+    progress.pace_ms =
+        upstream == nullptr || upstream->pace_ms <= 0 ? pass.median_pace_ms : upstream->pace_ms;
+    progress.load_fresh = !pass.loads_reported ||
+                          (upstream != nullptr && (upstream->request_limit || LoadIsFresh(*upstream, now)));
     progress.unresponsive = upstream == nullptr || IsUnresponsive(*upstream, now);
     progress.queued = upstream != nullptr && upstream->load.waiting > 0;
-    progress.other_gap_ms = ExpectedGap(*other, median_pace_ms, now);
+    progress.other_gap_ms = ExpectedGap(*other, pass.median_pace_ms, now);
     progress.other_pace_ms = other->pace_ms;
-    progress.other_load_fresh = !loads_reported || other->request_limit || LoadIsFresh(*other, now);
+    progress.other_load_fresh = !pass.loads_reported || other->request_limit || LoadIsFresh(*other, now);
     const MoveDecision decision = must_leave ? MoveDecision::kMove : DecideMove(progress);
     if (decision == MoveDecision::kQueryLoads && now >= it.next_load_query) {
       it.next_load_query = now + kRunLoadQueryInterval;
@@ -921,12 +1013,12 @@
         Job* const found = FindJob(id);
         if (found != nullptr && !found->frozen) MoveSlowRuns(*found);
       };
-      if (upstream != nullptr) QueryLoad(*spec, *upstream, on_load_reply);
-      QueryLoad(*spec, *other, on_load_reply);
+      if (upstream != nullptr) QueryLoad(*upstream, on_load_reply);
+      QueryLoad(*other, on_load_reply);
       // By its fresh load `other` may no longer be the best choice, so the second best is queried as well.
       choice.excluded.push_back(other->entry.id);
-      UpstreamState* const second = pick();
-      if (second != nullptr) QueryLoad(*spec, *second, on_load_reply);
+      UpstreamState* const second = PickInService(pass, choice);
+      if (second != nullptr) QueryLoad(*second, on_load_reply);
     }
     if (decision != MoveDecision::kMove) continue;
     LogEventLine(LogLevel::kInfo, LogEvent::kItemMoved,
@@ -945,7 +1037,8 @@
     // Started immediately, so that the decision for the next run counts the occupied slot.
     Requeue(job, it, absl::ZeroDuration(), must_leave ? "leaving" : "slow");
     StartRun(job, it, *other);
-    if (costs) UpdateCost(*costs, *other, choice);
+    ServicePass& target = passes[other->entry.service];
+    if (target.costs) UpdateCost(*target.costs, *other, choice);
     moved = true;
   }
   if (moved) Dispatch();
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -73,11 +73,17 @@
 std::map<std::string, ServiceDemand> BatchService::DemandByService() const {
   std::map<std::string, ServiceDemand> demand;
   for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) {
-    const Route* const route = directory_.FindRoute(it.second->submission.host, it.second->submission.path);
+    Job& job = *it.second;
+    const Route* const route = directory_.FindRoute(job.submission.host, job.submission.path);
     if (route == nullptr || route->services.empty()) continue;
-    ServiceDemand& service = demand[route->services.front().service];
-    service.running += it.second->running;
-    service.waiting += static_cast<int>(it.second->waiting.size());
+    for (const Item& item : job.items) {
+      if (item.phase != Phase::kWaiting && item.phase != Phase::kRunning) continue;
+      const UpstreamState* const upstream =
+          item.phase == Phase::kRunning ? directory_.Find(item.upstream) : nullptr;
+      ServiceDemand& service =
+          demand[upstream != nullptr ? upstream->entry.service : ServicesFor(job, item, *route).front()];
+      ++(item.phase == Phase::kRunning ? service.running : service.waiting);
+    }
   }
   return demand;
 }
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -109,6 +109,9 @@
  private:
   enum class Phase { kWaiting, kRunning, kScoring, kFinished };
   struct Item;
+  struct EngineSet;
+  struct ServicePass;
+  using ServicePasses = std::map<std::string, ServicePass>;
   struct PendingResult;
   struct Job;
   struct SubmitOp;
@@ -150,12 +153,16 @@
 
   void Dispatch();
   ItemChoice MakeChoice(const Job& job, const Item& item, const Route& route) const;
-  const std::vector<UpstreamState*>& EnginesFor(Job& job, const std::string& service);
+  const std::vector<std::string>& ServicesFor(Job& job, const Item& item, const Route& route) const;
+  const std::vector<UpstreamState*>& EnginesFor(Job& job, const Route& route, const std::string& service);
+  ServicePass& PassFor(ServicePasses& passes, Job& job, const Route& route, const std::string& service);
+  static UpstreamState* PickInService(ServicePass& pass, const ItemChoice& choice);
+  UpstreamState* PickForPlacement(ServicePasses& passes, Job& job, const Item& item, const Route& route,
+                                  const ItemChoice& choice);
   void PlaceItems(Job& job);
   ItemChoice MakePlacement(const Job& job, const Item& item, const Route& route) const;
   void WantPermits(const std::vector<UpstreamState*>& engines, const ItemChoice& choice, int items);
-  bool DiscardUnlessWaiting(const Job& job, Item& item, const std::vector<UpstreamState*>& engines,
-                            const ItemChoice& choice);
+  bool DiscardUnlessWaiting(Job& job, Item& item, const Route& route, const ItemChoice& choice);
   void StartRun(Job& job, Item& item, UpstreamState& upstream);
   void OnRunHead(const std::string& job, std::size_t item, std::uint64_t run, const AnswerHead& head);
   void OnRunBytes(const std::string& job, std::size_t item, std::uint64_t run, std::string_view bytes);
@@ -171,7 +178,7 @@
   void DiscardText(Item& item);
   void LogDiscardedText(const Job& job, const Item& item, std::string_view reason) const;
   bool IsSoftwareCertain(const Item& item) const;
-  bool QueryLoad(const ServiceSpec& spec, UpstreamState& upstream, std::function<void()> done);
+  bool QueryLoad(UpstreamState& upstream, std::function<void()> done);
   void QueryLoads(Job& job);
   static bool IsTailItem(const Job& job, const Item& item);
   void MoveSlowRuns(Job& job);
--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -59,6 +60,8 @@
     absl::Milliseconds(600);         // loading weights pauses a stream for longer than ordinary jitter does
 constexpr double kStallFactor = 12;  // times the expected gap at the other engine
 
+constexpr absl::Duration kMaxServiceWait =
+    absl::Seconds(2);                 // of an item beside idle engines; callers are promised less than 5 s
 constexpr double kMinEventsLeft = 1;  // of a run that has not ended
 constexpr absl::Duration kDepartureMargin =
     absl::Milliseconds(200);  // a notice is some 100 ms old when it is read
@@ -136,16 +139,42 @@
   return head.status < 500 ? AttemptVerdict::kAnswered : AttemptVerdict::kFailed;
 }
 
-std::string ChooseService(const Route& route, std::string_view id) {
-  double total = 0;
-  for (const WeightedService& it : route.services) total += std::max(0.0, it.weight);
-  if (total <= 0) return route.services.empty() ? "" : route.services.front().service;
-  double point = static_cast<double>(HashText(id) >> 11) / static_cast<double>(1ULL << 53) * total;
+std::vector<std::string> RankServices(const Route& route, std::string_view key) {
+  if (route.services.empty()) return {};
+  std::map<std::string, double> weights;
   for (const WeightedService& it : route.services) {
-    point -= std::max(0.0, it.weight);
-    if (point < 0) return it.service;
+    if (it.weight > 0) weights[it.service] += it.weight;
   }
-  return route.services.back().service;
+  if (weights.empty()) return {route.services.front().service};
+  if (weights.size() == 1) return {weights.begin()->first};
+  // Weighted rendezvous hashing: the smallest of exponentially distributed numbers with rates w1, w2, ... is
+  // the i-th with probability wi / (w1 + w2 + ...), whichever of the others are left out.
+  std::vector<std::pair<double, std::string>> ranked;
+  for (const std::pair<const std::string, double>& it : weights) {
+    const double unit =
+        (static_cast<double>(HashText(absl::StrCat(it.first, "/", std::string(key))) >> 11) + 0.5) /
+        static_cast<double>(1ULL << 53);
+    ranked.push_back({-std::log(unit) / it.second, it.first});
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> services;
+  for (std::pair<double, std::string>& it : ranked) services.push_back(std::move(it.second));
+  return services;
+}
+
+std::string ChooseService(const Route& route, std::string_view key) {
+  const std::vector<std::string> services = RankServices(route, key);
+  return services.empty() ? "" : services.front();
+}
+
+std::optional<std::size_t> PickService(const std::vector<ServiceRoom>& services, absl::Duration waited) {
+  bool own = true;  // no service before could run the item
+  for (std::size_t it = 0; it < services.size(); ++it) {
+    if (!services[it].can_run) continue;
+    if (services[it].has_free && (own || (services[it].under_half && waited >= kMaxServiceWait))) return it;
+    own = false;
+  }
+  return std::nullopt;
 }
 
 UpstreamState* PickUnary(const std::vector<UpstreamState*>& usable, const UnaryChoice& choice) {
@@ -232,7 +261,7 @@
 
 // True if the upstream could run the item now, but for its request limit.
 bool IsSuitable(const UpstreamState& upstream, const ItemChoice& choice) {
-  if (!HasWeights(upstream, choice) || choice.now < upstream.avoid_until) return false;
+  if (!CanRun(upstream, choice)) return false;
   const auto unavailable = upstream.unavailable_until.find(choice.model);
   if (unavailable != upstream.unavailable_until.end() && choice.now < unavailable->second) return false;
   return EstimateRunning(upstream, choice.now) < std::max(1, upstream.entry.slots);
@@ -317,6 +346,10 @@
   return best;
 }
 
+bool CanRun(const UpstreamState& upstream, const ItemChoice& choice) {
+  return HasWeights(upstream, choice) && choice.now >= upstream.avoid_until;
+}
+
 bool CanContinue(const UpstreamState& upstream, const ItemChoice& choice) {
   return HasSoftware(upstream, choice.software) && HasWeights(upstream, choice);
 }
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -29,9 +29,32 @@
 bool IsAnswerTo(const AnswerHead& head, std::string_view request_id);
 AttemptVerdict ClassifyAttempt(CallEnd end, const AnswerHead& head, std::string_view request_id);
 
-// Chooses one of the route's services by weight. The choice depends only on `id`, so that a retry goes to the
-// same service. Returns "" if the route has no services.
-std::string ChooseService(const Route& route, std::string_view id);
+// ---- Services of a route
+// ------------------------------------------------------------------------------------
+
+// Returns the route's services in the order in which they are tried for a request, or for a group of items,
+// that is identified by `key`. The first one is a random choice by the weights that depends on the key only,
+// so that all hosts agree, retries go to the same service, and the items of a group share their processed
+// prompt. Load pattern: a service loses all its upstreams, and gets them back. Its part goes to the next
+// service of each key, in proportion to the weights of the others, and only its part moves. Services of
+// weight 0 get nothing, unless no service has a weight.
+std::vector<std::string> RankServices(const Route& route, std::string_view key);
+
+// The first of them, or "" if the route has no services.
+std::string ChooseService(const Route& route, std::string_view key);
+
+// What a service of the route can do for one item.
+struct ServiceRoom {
+  bool can_run = false;     // it has an upstream that could run the item, which may be full
+  bool has_free = false;    // such an upstream has a free slot
+  bool under_half = false;  // less than half of its slots are taken
+};
+// Returns the index of the service that runs the item now, or nullopt: the item waits. `services` are in the
+// order of RankServices, `waited` is the time since the item became ready. Load pattern: a route is split,
+// and the engines of one service are lost, or are too few for its part of a step. An item waits for the
+// service of its group, so that the weights hold; but not at once if that service cannot run it, and not for
+// long while the engines of another one are mostly idle.
+std::optional<std::size_t> PickService(const std::vector<ServiceRoom>& services, absl::Duration waited);
 
 // ---- Unary calls ------------------------------------------------------------------------------------------
 
@@ -124,6 +147,8 @@
 std::vector<PermitWant> WantsForItems(const std::vector<UpstreamState*>& usable, const ItemChoice& choice,
                                       int items);
 
+// True if the upstream has the weights with which the item may run and is not avoided, whatever its load.
+bool CanRun(const UpstreamState& upstream, const ItemChoice& choice);
 // True if the upstream has the software and the weights with which the item may run, whatever its load.
 bool CanContinue(const UpstreamState& upstream, const ItemChoice& choice);
 
