Send calls of a service without upstreams to the other services of their route

Callers saw, on a route split evenly over two services of which one has lost its upstreams: 101 of 200 lookups refused with 503 beside idle upstreams of the other, 46 of 100 while a crashed upstream is still listed, 57 of 100 ended with 504 while it is silent; 8 of 16 texts never got their score (split_routes_test on the commit before).

A lookup, call or scoring call was bound to the one service that its id gave, whether or not that service had an upstream to run it.

Change: ChooseService takes the first service, in the order of RankServices, with an untried upstream that is not avoided. The frontend asks it again before each attempt, scoring at each dispatch, so that a service gets its part back as soon as it has upstreams. A stream that is taken up again stays at its service. Full services keep their part. Attempts carry their service, for the demand and the records of streams.

Tests: TextsAreScoredByTheOtherService, AServiceWithoutUpstreamsHandsItsPartOver, AFailedAttemptIsRepeatedAtTheOtherService failed before. 38 of 38 test programs pass.

--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -162,9 +162,18 @@
   return services;
 }
 
-std::string ChooseService(const Route& route, std::string_view key) {
-  const std::vector<std::string> services = RankServices(route, key);
-  return services.empty() ? "" : services.front();
+std::string ChooseService(Directory& directory, const Route& route, std::string_view key,
+                          const std::vector<std::string>& tried, absl::Time now) {
+  const std::vector<std::string> ranked = RankServices(route, key);
+  if (ranked.empty()) return "";
+  for (const bool avoided_too : {false, true}) {
+    for (const std::string& service : ranked) {
+      for (const UpstreamState* it : directory.Usable(service)) {
+        if ((avoided_too || now >= it->avoid_until) && !Contains(tried, it->entry.id)) return service;
+      }
+    }
+  }
+  return ranked.front();
 }
 
 std::optional<std::size_t> PickService(const std::vector<ServiceRoom>& services, absl::Duration waited) {
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -40,8 +40,11 @@
 // weight 0 get nothing, unless no service has a weight.
 std::vector<std::string> RankServices(const Route& route, std::string_view key);
 
-// The first of them, or "" if the route has no services.
-std::string ChooseService(const Route& route, std::string_view key);
+// The service for one call: the first one with an upstream that is not in `tried` and not avoided; else with
+// one that is not in `tried`; else the first. "" if the route has no services. Load pattern: as above, for
+// lookups and scoring calls. Their upstreams queue requests, so a full service keeps its part.
+std::string ChooseService(Directory& directory, const Route& route, std::string_view key,
+                          const std::vector<std::string>& tried, absl::Time now);
 
 // What a service of the route can do for one item.
 struct ServiceRoom {
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -27,6 +27,7 @@
   AnswerHead head;                       //
   std::string body;                      //
   std::string software;                  // version of the upstream when the attempt started
+  std::string service;                   // of the upstream
 };
 
 struct Frontend::Exchange {
@@ -74,7 +75,6 @@
   exchange.id = id;
   exchange.request = std::move(request);
   exchange.route = route;
-  exchange.service = ChooseService(route, exchange.request.id);
   exchange.respond = std::move(respond);
   exchange.started = loop_.Now();
   exchange.expires_at = exchange.started +
@@ -151,8 +151,17 @@
   return choice;
 }
 
+// Keeps to one service as long as it has an untried upstream that answers. A stream that is taken up again
+// stays at the service that began it.
+void Frontend::UpdateService(Exchange& exchange) {
+  if (exchange.software) return;
+  exchange.service =
+      ChooseService(directory_, exchange.route, exchange.request.id, exchange.tried, loop_.Now());
+}
+
 void Frontend::StartAttempt(Exchange& exchange) {
   const absl::Time now = loop_.Now();
+  UpdateService(exchange);
   UpstreamState* upstream = PickUnary(directory_.Usable(exchange.service), MakeUnaryChoice(exchange));
   if (upstream == nullptr) {
     if (exchange.attempts.empty()) RetryOrFail(exchange, ErrorKind::kNoUpstream);
@@ -197,7 +206,7 @@
     const bool begins = exchange.route.kind == RouteKind::kStreaming && exchange.route.resumable &&
                         !exchange.request.resumes && head.status == 200;
     if (begins && stream_versions_ != nullptr)
-      stream_versions_->Record(exchange.request.id, {exchange.service, attempt.upstream, attempt.software});
+      stream_versions_->Record(exchange.request.id, {attempt.service, attempt.upstream, attempt.software});
   };
   handlers.on_body = [this, id, self](std::string_view piece) {
     const auto it = exchanges_.find(id);
@@ -205,14 +214,17 @@
   };
   handlers.on_end = [this, id, self](CallEnd end) { OnAttemptEnd(id, *self, end); };
   *self = link_.Start(std::move(call), std::move(handlers));
-  exchange.attempts[*self] = {upstream->entry.id,      upstream->entry.started_ms, now, {}, {},
-                              upstream->entry.software};
+  exchange.attempts[*self] = {
+      upstream->entry.id, upstream->entry.started_ms, now, {}, {}, upstream->entry.software,
+      exchange.service};
 }
 
 std::map<std::string, int> Frontend::RunningByService() const {
   std::map<std::string, int> running;
-  for (const std::pair<const FrontendRequestId, std::unique_ptr<Exchange>>& it : exchanges_)
-    running[it.second->service] += static_cast<int>(it.second->attempts.size());
+  for (const std::pair<const FrontendRequestId, std::unique_ptr<Exchange>>& it : exchanges_) {
+    for (const std::pair<const CallId, Attempt>& attempt : it.second->attempts)
+      ++running[attempt.second.service];
+  }
   return running;
 }
 
@@ -276,6 +288,7 @@
 void Frontend::RetryOrFail(Exchange& exchange, ErrorKind reason) {
   const bool repeatable = exchange.route.kind == RouteKind::kIdempotent || exchange.may_have_run == 0;
   const int counted = exchange.may_have_run + static_cast<int>(exchange.attempts.size());
+  UpdateService(exchange);
   const bool upstream_left =
       PickUnary(directory_.Usable(exchange.service), MakeUnaryChoice(exchange)) != nullptr;
   const bool may_retry =
--- a/src/serving/frontend.h
+++ b/src/serving/frontend.h
@@ -61,6 +61,7 @@
   struct Exchange;
   UnaryChoice MakeUnaryChoice(const Exchange& exchange) const;
   void ResumeStream(Exchange& exchange);
+  void UpdateService(Exchange& exchange);
   void StartAttempt(Exchange& exchange);
   void OnAttemptEnd(FrontendRequestId id, CallId call, CallEnd end);
   void RecordBegin(Exchange& exchange, absl::Time sent);
--- a/src/serving/scoring.cc
+++ b/src/serving/scoring.cc
@@ -108,6 +108,10 @@
   dispatching_ = false;
 }
 
+std::string ScoringCalls::ServiceFor(const Call& call, const Route& route) const {
+  return ChooseService(directory_, route, call.request.id, {}, loop_.Now());
+}
+
 UpstreamState* ScoringCalls::Pick(const Call& call, const Route& route, const std::string& excluded) {
   ScoringChoice choice;
   choice.zone_isolated = zone_isolated_;
@@ -115,7 +119,7 @@
   choice.avoided = call.last_upstream;
   choice.excluded = excluded;
   choice.now = loop_.Now();
-  return PickForScoring(directory_.Usable(ChooseService(route, call.request.id)), choice);
+  return PickForScoring(directory_.Usable(ServiceFor(call, route)), choice);
 }
 
 // Requests a permit of an upstream that limits its requests, so that a later Dispatch can send the call.
@@ -123,7 +127,7 @@
   const int waiting = std::min(Open() - in_progress_, static_cast<int>(limit_.max_calls));
   UnaryChoice choice;
   choice.now = loop_.Now();
-  WantPermitOfAny(directory_, ChooseService(route, call.request.id), choice, std::max(1, waiting));
+  WantPermitOfAny(directory_, ServiceFor(call, route), choice, std::max(1, waiting));
 }
 
 void ScoringCalls::Send(Call& call, const Route& route, UpstreamState& upstream) {
--- a/src/serving/scoring.h
+++ b/src/serving/scoring.h
@@ -56,6 +56,7 @@
   struct Call;
 
   Call* Find(ScoringId id);
+  std::string ServiceFor(const Call& call, const Route& route) const;
   UpstreamState* Pick(const Call& call, const Route& route, const std::string& excluded);
   void WantPermit(const Call& call, const Route& route);
   void Send(Call& call, const Route& route, UpstreamState& upstream);
