Take an answer with a status that HTTP does not have for no answer

Callers saw: an upstream in trouble answers with status 000 (or 099, 600, 999), and the caller got it as the answer to its request, signed, with status 0; a non-repeatable call was ended with it, and a repeatable one not repeated elsewhere.

Cause: Beast's parser accepts any three digits, and the client judged only "below 200" (an interim response) and the two failures of its own. So 000 that ends with its connection was complete and below 500, that is answered; with a length it was taken for an interim response, before or after its head had been passed on. 600 and above were failures that an upstream states. Loads, reports, orders and the store rest on the same client: a load of such an answer was used, an order counted as refused. The threaded daemon's client had no check either.

Change: in HttpClient a response whose status is outside 100 to 599 (RFC 9110, 15) ends the call as broken before its head or body is passed on, with event 225 and the counter upstream_answers_refused{invalid_status}; the connection is closed. The same check in SendHttp. A body is no longer passed on without a head.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -57,6 +57,7 @@
   kForeignAnswer = 222,
   kUpstreamStatesLeaving = 223,
   kUpstreamDeparture = 224,
+  kInvalidStatus = 225,
   kFeedRestarted = 402,
   kStoreAnswerUnexpected = 403,
   kRecordUnreadable = 404,
--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -66,6 +66,9 @@
 // character, which would end the request line.
 bool IsSendableTarget(std::string_view target);
 
+// True for the status codes that an answer may have (RFC 9110, 15).
+constexpr bool IsHttpStatus(int status) { return status >= 100 && status <= 599; }
+
 struct HttpRequest {
   std::string method;  //
   std::string target;  // path and query
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 81> kEventNames = {{
+constexpr std::array<EventName, 82> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -72,6 +72,7 @@
     {LogEvent::kForeignAnswer, "foreign_answer"},
     {LogEvent::kUpstreamStatesLeaving, "upstream_states_leaving"},
     {LogEvent::kUpstreamDeparture, "upstream_departure"},
+    {LogEvent::kInvalidStatus, "invalid_status"},
     {LogEvent::kFeedRestarted, "feed_restarted"},
     {LogEvent::kStoreAnswerUnexpected, "store_answer_unexpected"},
     {LogEvent::kRecordUnreadable, "record_unreadable"},
--- a/src/links/http_client.cc
+++ b/src/links/http_client.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/clock.h"
+#include "oleander/serving.h"
 
 namespace oleander {
 namespace {
@@ -65,6 +66,7 @@
 // State of one call, set by its callbacks.
 struct Progress {
   bool headers_seen = false;
+  bool invalid_status = false;
   bool cancelled = false;  // by on_data
   bool too_large = false;  //
   bool timed_out = false;  //
@@ -77,6 +79,8 @@
       ec == httplib::Error::BindIPAddress) {
     return Fail(ErrorKind::kUpstreamRefused, absl::StrCat(what, "no connection"));
   }
+  if (progress.invalid_status)
+    return Fail(ErrorKind::kUpstreamProtocol, absl::StrCat(what, "answer with an invalid status"));
   if (progress.too_large) {
     return Fail(ErrorKind::kUpstreamProtocol,
                 absl::StrCat(what, "answer exceeds ", call.max_answer_bytes, " bytes"));
@@ -109,7 +113,8 @@
     progress.headers_seen = true;
     answer.status = response.status;
     answer.headers = response.headers;
-    return true;
+    progress.invalid_status = !serving::IsHttpStatus(response.status);
+    return !progress.invalid_status;
   };
   request.content_receiver = [&](const char* data, std::size_t n, std::uint64_t, std::uint64_t) {
     last_data = absl::Now();
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -64,6 +64,7 @@
   bool head_reported = false;
   bool head_request = false;  // a HEAD request: the response has no body
   std::size_t max_body_bytes = 0;
+  bool invalid_status = false;     // the response states a status that HTTP does not have
   bool over_limit = false;         // more than `max_body_bytes`, or than kMaxUnparsedBytes
   std::size_t received_bytes = 0;  // of the response, framing included
   std::size_t body_bytes = 0;      // of the response, decoded
@@ -111,6 +112,7 @@
   connection->max_body_bytes = call.max_body_bytes;
   connection->received_bytes = 0;
   connection->over_limit = false;
+  connection->invalid_status = false;
   connection->body_bytes = 0;
   connection->connect_timeout = limits_.connect_timeout;
   connection->silence_timeout = call.silence_timeout;
@@ -266,6 +268,10 @@
   while (connection.buffer.size() > 0 && !connection.parser->is_done()) {
     const std::size_t used = connection.parser->put(connection.buffer.data(), ec);
     connection.buffer.consume(used);
+    // Beast accepts any three digits.
+    connection.invalid_status = connection.parser->is_header_done() &&
+                                !IsHttpStatus(static_cast<int>(connection.parser->get().result_int()));
+    if (connection.invalid_status) return false;
     if (ec == http::error::need_more) return true;
     connection.over_limit = ec == http::error::body_limit;
     if (ec) return false;
@@ -330,12 +336,13 @@
     if (connection->handlers.on_head) connection->handlers.on_head(head);
     if (connection->call != id) return;
   }
-  if (parser.is_header_done() && !parser.get().body().empty()) {
+  if (connection->head_reported && !parser.get().body().empty()) {
     std::string piece;
     piece.swap(parser.get().body());
     if (connection->handlers.on_body) connection->handlers.on_body(piece);
     if (connection->call != id) return;
   }
+  if (connection->invalid_status) LogInvalidStatus(*connection);
   if (failed) {
     Finish(connection, connection->over_limit ? CallEnd::kTooLarge : CallEnd::kBroken);
   } else if (parser.is_done()) {
@@ -399,6 +406,15 @@
                 {"silent_ms", absl::ToInt64Milliseconds(loop_.Now() - silent_since)}});
 }
 
+void HttpClient::LogInvalidStatus(const Connection& connection) const {
+  AddCounter(GlobalMetrics(), "upstream_answers_refused", "invalid_status");
+  LogEventLine(LogLevel::kWarning, LogEvent::kInvalidStatus,
+               {{"address", connection.address},
+                {"status", static_cast<int>(connection.parser->get().result_int())},
+                {"received", connection.received_bytes},
+                {"ms", absl::ToInt64Milliseconds(loop_.Now() - connection.started)}});
+}
+
 void HttpClient::LogUnanswered(const Connection& connection) const {
   const auto idle = idle_.find(connection.address);
   const absl::Time now = loop_.Now();
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -81,6 +81,7 @@
   void AbortLargest();
   void Finish(const ConnectionPtr& connection, CallEnd end);
   void CloseSuspects(const std::string& address, absl::Time silent_since);
+  void LogInvalidStatus(const Connection& connection) const;
   void LogUnanswered(const Connection& connection) const;
   void KeepIdle(const ConnectionPtr& connection);
   void ScheduleTimeoutCheck(const ConnectionPtr& connection);
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -12,6 +12,7 @@
 #include "serving/event_loop.h"
 #include "serving/http_client.h"
 #include "serving/http_server.h"
+#include "tests/raw_server.h"
 
 namespace oleander::serving {
 namespace {
@@ -23,47 +24,6 @@
 constexpr std::size_t kMaxBodyBytes = 1 << 20;  // of one answer; Limits() sets that of all answers together
 constexpr std::size_t kSocketBufferBytes = 16 << 20;  // limit of unread data in socket buffers
 
-// Serves raw bytes: calls `script` for each accepted connection, one after the other on its own thread.
-struct RawServer {
-  explicit RawServer(std::function<void(tcp::socket&)> script)
-      : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}), thread([this, script] {
-          while (true) {
-            tcp::socket socket(context);
-            boost::system::error_code ec;
-            acceptor.accept(socket, ec);
-            if (ec || stopped) return;
-            ++accepted;
-            script(socket);
-          }
-        }) {}
-  ~RawServer() {
-    stopped = true;
-    boost::system::error_code ignored;
-    tcp::socket wake(context);
-    wake.connect(acceptor.local_endpoint(), ignored);
-    thread.join();
-  }
-  std::string Address() const { return absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port()); }
-
-  asio::io_context context;
-  std::vector<tcp::socket> kept;  // by the script, open until the thread has ended
-  std::atomic<bool> stopped{false};
-  std::atomic<int> accepted{0};
-  tcp::acceptor acceptor;
-  std::thread thread;
-};
-
-std::string ReadHead(tcp::socket& socket) {
-  std::string text;
-  boost::system::error_code ignored;
-  asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", ignored);
-  return text;
-}
-void WriteText(tcp::socket& socket, const std::string& text) {
-  boost::system::error_code ignored;
-  asio::write(socket, asio::buffer(text), ignored);
-}
-
 struct Result {
   int status = 0;
   std::string body;
