Read all stored texts when a host takes a batch job over

Cause: the texts of running items are read with one call, whose answer holds 1 MB at most; the rest of the table was not asked for.

Change: the texts are read part by part, and the items of each part continue as it arrives. Items start after the last part, or after the first one that ends later than 0.5 s, because a table with texts of many steps would delay a step by more than generating texts again; a text that arrives later is still used if its item has not begun.

--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -98,13 +98,13 @@
   std::vector<std::size_t> order;  // item by rank
   std::set<std::size_t> waiting;   // ranks
   int running = 0;
-  bool partials_read = false;    // the stored partial texts have been read, or the read failed
+  int texts_resumed = 0;         // stored texts that its items continue
   int load_queries_pending = 0;  // unanswered load queries; the first items are placed after them
   absl::Time load_queries_until = absl::InfinitePast();  // placement waits for them no longer than this
   bool frozen = false;                                   // no run is started
   bool handing_over = false;
-  absl::Time ready_at;                                             // when its first items could be placed
-  std::map<std::string, EngineSet> engines;                        // by service
+  absl::Time ready_at = absl::InfinitePast();  // when its items could first be placed; not yet: infinite past
+  std::map<std::string, EngineSet> engines;    // by service
   std::map<std::string, std::vector<std::string>> group_services;  // by group, as RankServices returns them
   std::int64_t group_services_policy = 0;                          // version of the policy that they rest on
   std::map<std::string, std::string> group_upstream;  // by group, the upstream that has processed its prompt
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -26,6 +26,8 @@
     absl::Milliseconds(30);  // short, because some links lose all answers
 constexpr absl::Duration kEnginesLifetime =
     absl::Milliseconds(200);  // then chosen again for the current items and weights
+constexpr absl::Duration kMaxTextsWait =
+    absl::Milliseconds(500);  // generating the median text again takes longer
 constexpr std::size_t kMaxCheckpointBytes =
     1 << 20;  // texts in one checkpoint; the rest follows in the next one
 constexpr std::size_t kTailRankDivisor =
@@ -96,72 +98,102 @@
     for (const std::string& it : RankServices(*known_route, "")) ReadPaces(it);
   }
   QueryLoads(job);
-  store_.Get(
-      {std::string(kPartialTable), PartialPartition(job), "", "", 0}, [this, id](const StoreReply& reply) {
-        UpdateStoreClock(reply);
-        Job* const found = FindJob(id);
-        if (found == nullptr) return;
-        Job& job = *found;
-        job.partials_read = true;
-        job.ready_at = loop_.Now();
-        std::map<std::string, Item*> by_id;
-        for (Item& it : job.items) by_id[it.spec.id] = &it;
-        const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
-        const bool single_version = route != nullptr && route->single_version;
-        int used = 0;
-        std::vector<std::pair<Item*, int>> complete;  // with failures of its scoring call
-        for (std::size_t at = 0; at < reply.rows.size();) {
-          const std::string key = reply.rows[at].id.key;
-          const std::size_t before = at;
-          const std::optional<std::string> bytes = JoinRows(reply.rows, at);
-          if (!bytes) {
-            at = before + 1;
-            continue;
-          }
-          const std::optional<PartialText> partial = DecodePartial(*bytes);
-          if (!partial || partial->versions.empty()) continue;
-          if (!partial->software) {
-            job.partials_to_remove.push_back(key);  // nobody knows where the text may be continued
-            continue;
-          }
-          const std::int64_t oldest = *std::min_element(partial->versions.begin(), partial->versions.end());
-          if (oldest < job.submission.min_version) {
-            job.partials_to_remove.push_back(key);  // no later step accepts weights this old
-            continue;
-          }
-          const auto it = by_id.find(partial->item);
-          if (it == by_id.end() || it->second->phase != Phase::kWaiting) continue;
-          if (single_version && partial->versions.size() > 1) continue;
-          Item& item = *it->second;
-          item.output = partial->output;
-          item.events = partial->events;
-          item.last_event = partial->last_event;
-          item.versions.insert(partial->versions.begin(), partial->versions.end());
-          item.software = partial->software;
-          item.sources.insert(partial->sources.begin(), partial->sources.end());
-          item.stopped_at = loop_.Now();
-          item.checkpointed_events = item.events;
-          item.checkpointed_complete = partial->complete;
-          item.has_partial_row = true;
-          if (!IsSoftwareCertain(item)) {
-            LogDiscardedText(job, item, "software_uncertain");
-            DiscardText(item);
-            continue;
-          }
-          ++used;
-          if (partial->complete) complete.push_back({&item, partial->scoring_failures});
-        }
-        if (used > 0) RankItems(job);
-        // A text that an earlier owner completed is not generated again.
-        for (const std::pair<Item*, int>& it : complete) CompleteText(job, *it.first, it.second);
-        LogEventLine(LogLevel::kInfo, LogEvent::kBatchOwned,
-                     {{"job", id},
-                      {"total", job.lease.total},
-                      {"listed", job.lease.committed},
-                      {"texts_resumed", used},
-                      {"store", NameOf(reply.outcome)}});
-        Dispatch();
-      });
+  ReadTexts(id, {std::string(kPartialTable), PartialPartition(job), "", "", 0}, {}, loop_.Now());
+}
+
+// Reads the stored texts part by part; the items start after the last part, or if it takes too long.
+// `rows`: of a text whose other rows are in the next part.
+void BatchService::ReadTexts(const std::string& id, const RowRange& range, std::vector<Row> rows,
+                             absl::Time started) {
+  store_.Get(range, [this, id, range, rows = std::move(rows), started](const StoreReply& reply) mutable {
+    UpdateStoreClock(reply);
+    Job* const found = FindJob(id);
+    if (found == nullptr) return;
+    const bool has_more = reply.outcome == StoreOutcome::kOk && reply.has_more && !reply.rows.empty();
+    rows.insert(rows.end(), reply.rows.begin(), reply.rows.end());
+    const std::size_t adopted = AdoptTexts(*found, rows);
+    const bool late = loop_.Now() - started >= kMaxTextsWait;
+    if (!has_more || late) StartItems(*found, has_more ? "late" : NameOf(reply.outcome));
+    if (has_more) {
+      rows.erase(rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(adopted));
+      RowRange rest = range;
+      rest.from = reply.rows.back().id.key + std::string(1, '\0');
+      ReadTexts(id, rest, std::move(rows), started);
+    }
+  });
+}
+
+// Continues the waiting items whose texts are among the rows. Returns the index after the last complete text.
+std::size_t BatchService::AdoptTexts(Job& job, const std::vector<Row>& rows) {
+  std::map<std::string, Item*> by_id;
+  for (Item& it : job.items) by_id[it.spec.id] = &it;
+  const Route* route = directory_.FindRoute(job.submission.host, job.submission.path);
+  const bool single_version = route != nullptr && route->single_version;
+  std::size_t adopted = 0;
+  int used = 0;
+  std::vector<std::pair<Item*, int>> complete;  // with failures of its scoring call
+  for (std::size_t at = 0; at < rows.size();) {
+    const std::string key = rows[at].id.key;
+    const std::size_t first = at;
+    const std::optional<std::string> bytes = JoinRows(rows, at);
+    if (!bytes) {
+      at = first + 1;
+      continue;
+    }
+    adopted = at;
+    const std::optional<PartialText> partial = DecodePartial(*bytes);
+    if (!partial || partial->versions.empty()) continue;
+    if (!partial->software) {
+      job.partials_to_remove.push_back(key);  // nobody knows where the text may be continued
+      continue;
+    }
+    const std::int64_t oldest = *std::min_element(partial->versions.begin(), partial->versions.end());
+    if (oldest < job.submission.min_version) {
+      job.partials_to_remove.push_back(key);  // no later step accepts weights this old
+      continue;
+    }
+    const auto it = by_id.find(partial->item);
+    // An item that has begun without its stored text keeps the new one.
+    if (it == by_id.end() || it->second->phase != Phase::kWaiting || it->second->events > 0) continue;
+    if (single_version && partial->versions.size() > 1) continue;
+    Item& item = *it->second;
+    item.output = partial->output;
+    item.events = partial->events;
+    item.last_event = partial->last_event;
+    item.versions.insert(partial->versions.begin(), partial->versions.end());
+    item.software = partial->software;
+    item.sources.insert(partial->sources.begin(), partial->sources.end());
+    item.stopped_at = loop_.Now();
+    item.checkpointed_events = item.events;
+    item.checkpointed_complete = partial->complete;
+    item.has_partial_row = true;
+    if (!IsSoftwareCertain(item)) {
+      LogDiscardedText(job, item, "software_uncertain");
+      DiscardText(item);
+      continue;
+    }
+    ++used;
+    if (partial->complete) complete.push_back({&item, partial->scoring_failures});
+  }
+  job.texts_resumed += used;
+  if (used > 0) RankItems(job);
+  // A text that an earlier owner completed is not generated again.
+  for (const std::pair<Item*, int>& it : complete) CompleteText(job, *it.first, it.second);
+  return adopted;
+}
+
+// Allows the job's items to be placed, once the stored texts have been read, or take too long. `texts`:
+// whether all of them were read.
+void BatchService::StartItems(Job& job, std::string_view texts) {
+  if (job.ready_at != absl::InfinitePast()) return;
+  job.ready_at = loop_.Now();
+  LogEventLine(LogLevel::kInfo, LogEvent::kBatchOwned,
+               {{"job", job.submission.id},
+                {"total", job.lease.total},
+                {"listed", job.lease.committed},
+                {"texts_resumed", job.texts_resumed},
+                {"store", texts}});
+  Dispatch();
 }
 
 // Returns transactions that write the texts of unfinished items: all changed texts if `all` is set, otherwise
@@ -321,7 +353,7 @@
   const absl::Time now = loop_.Now();
   for (const std::pair<const std::string, std::unique_ptr<Job>>& it : jobs_) {
     Job& job = *it.second;
-    if (!job.partials_read || job.frozen || !MayStart(job) ||
+    if (job.ready_at == absl::InfinitePast() || job.frozen || !MayStart(job) ||
         (job.load_queries_pending > 0 && now < job.load_queries_until))
       continue;
     if (!job.waiting.empty()) PlaceItems(job);
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -144,6 +144,9 @@
   void FetchObjects(const std::string& job, int count, std::string bytes,
                     std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done);
   void LoadPartials(Job& job);
+  void ReadTexts(const std::string& job, const RowRange& range, std::vector<Row> rows, absl::Time started);
+  std::size_t AdoptTexts(Job& job, const std::vector<Row>& rows);
+  void StartItems(Job& job, std::string_view texts);
   void WritePaces(Job& job);
   void ReadPaces(const std::string& service);
   void ReadOnce(const std::shared_ptr<ReadOp>& read_op);
--- a/tests/batch_takeover_test.cc
+++ b/tests/batch_takeover_test.cc
@@ -120,6 +120,44 @@
   ExpectCompleteResults(ReadAll(), 64);
 }
 
+// Guards against generating texts again that are stored, but do not fit in one answer of the store.
+TEST_F(BatchTakeoverTest, ANewOwnerResumesAllStoredTexts) {
+  store.max_reply_bytes = 2500;
+  RunAndKillOwner();
+  const std::size_t before = engines.runs.size();
+  KeepReading(AddHost("h2"));
+  loop.RunFor(absl::Seconds(2));
+  ASSERT_EQ(engines.runs.size(), before + 8);
+  for (std::size_t it = before; it < engines.runs.size(); ++it)
+    EXPECT_GT(engines.runs[it].resume_after, 0) << engines.runs[it].request;
+  EndAllTexts();
+  ExpectCompleteResults(ReadAll(), 64);
+}
+
+// Guards against a step that waits for the stored texts of other steps: the store has many, and the link is
+// slow.
+TEST_F(BatchTakeoverTest, ItemsDoNotWaitForManyStoredTexts) {
+  RunAndKillOwner();
+  const std::string partition = "partial/train.example/words";
+  PartialText other = *DecodePartial(store.rows[partition].begin()->second.value.substr(1));
+  for (int it = 0; it < 400; ++it) {
+    other.item = absl::StrCat("earlier", it);
+    RowWrite row =
+        SplitIntoRows("partial", "train.example/words", other.item, EncodePartial(other), 60000)[0];
+    store.rows[partition][other.item] = {row.id, row.value, 1, false};
+  }
+  store.max_reply_bytes = 25000;
+  TestHost& second = AddHost("h2");
+  second.store.bytes_per_second = 100000;  // the texts take three seconds
+  KeepReading(second);
+  const std::size_t before = engines.runs.size();
+  loop.RunFor(absl::Milliseconds(2400));
+  EXPECT_EQ(RunningItems(), 8);
+  EXPECT_EQ(engines.runs.size(), before + 8);
+  EndAllTexts();
+  ExpectCompleteResults(ReadAll(), 64);
+}
+
 // Guards against items that are run again, or never, after a lease was written by a host of an earlier
 // version, which does not record the listed items.
 TEST_F(BatchTakeoverTest, ALeaseWithoutListedItemsIsCompletedFromTheResults) {
