--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -38,7 +38,7 @@
 def response(status, body=b"", headers=()):
     if not isinstance(body, bytes):
         body = json.dumps(body).encode()
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"] + [f"{k}: {v}" for k, v in headers]
+    lines = [f"HTTP/1.1 {status:03d} X", f"Content-Length: {len(body)}"] + [f"{k}: {v}" for k, v in headers]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
@@ -296,15 +296,16 @@
 
 
 class Engine(Upstream):
-    def __init__(self, name, zone, store, books, models):
+    def __init__(self, name, zone, store, books, models, service="engines"):
         super().__init__()
+        self.service = service
         self.name, self.zone, self.store, self.books = name, zone, store, books
         self.versions = {m: 1 for m in models}
         self.accepted = 0
         self.loading = None
         self.running = 0
         self.proxy = Proxy()  # between hosts and this engine
-        self.fault = ""   # "", silent, break, fail, endless
+        self.fault = ""   # "", silent, break, fail, endless, status (000)
         self.heartbeat_count = 0
         self.started_ms = int(time.time() * 1000)
         self.up = False
@@ -312,7 +313,7 @@
     def register(self):
         self.heartbeat_count += 1
         self.store.put("servers", self.name, {
-            "service": "engines", "address": f"127.0.0.1:{self.proxy.port}", "zone": self.zone, "version": "v1", "slots": SLOTS,
+            "service": self.service, "address": f"127.0.0.1:{self.proxy.port}", "zone": self.zone, "version": "v1", "slots": SLOTS,
             **self.state(), "warmupLeftMs": 0, "stage": "combined", "born": self.started_ms, "sequence": self.heartbeat_count,
             "models": [{"name": m, "version": v, "adapters": []} for m, v in self.versions.items()]})
 
@@ -364,9 +365,9 @@
         self.books.runs[item] += 1
         self.books.named.append((item, headers.get("tenant"), "key" in headers))
         self.books.arrivals.append((time.monotonic(), item, self.name))
-        if self.fault == "fail":
-            self.respond(writer, 500, headers=[("Request-Id", item), ("Server-Stamp", "s")])
-            return True
+        if self.fault in ("fail", "status"):
+            self.respond(writer, 500 if self.fault == "fail" else 0, headers=[("Request-Id", item), ("Server-Stamp", "s")])
+            return self.fault == "fail"
         if self.fault == "endless":
             await send_endless_answer(writer, b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: ")
             return False
@@ -402,7 +403,7 @@
 
 class Service(Upstream):
     """Answers lookups, scoring calls and calls that may run once. fault: "", lose (runs the request without an answer),
-    shed, fail, slow, endless."""
+    shed, fail, slow, endless, status (000, with everything else that an answer has)."""
 
     def __init__(self, name, zone, store, books):
         super().__init__()
@@ -439,6 +440,10 @@
         if self.fault == "fail" or target.endswith("/always-fails"):
             self.respond(writer, 500, headers=[("Request-Id", request), ("Server-Stamp", "failed")])
             return True
+        if self.fault == "status":
+            answer = response(0, body, [("Request-Id", request), ("Server-Stamp", signature_of(request))])
+            writer.write(answer.replace(b"Content-Length", b"X-Length"))  # it ends with the connection
+            return False
         if self.fault == "lose":
             writer.transport.abort()
             return False
