Refuse requests and answers whose heads leave open where they end

Callers saw: of requests with a transfer coding other than "chunked" (gzip, identity, quoted, folded, behind a tab, after "chunked"), or with two Host fields, each was answered with 200 and the bytes behind it were run at an upstream as a request of its own. A proxy before this host that reads such a head as RFC 9112 does passes the second request on as a body: request smuggling.

Cause: framing was left to Boost.Beast's parser, which knows lengths and "chunked", ignores other codings, unfolds lines and does not look at Host. It also adds the fields of a trailer to those of the head, behind all checks of the head.

Change: http_framing judges each head, before the parser sees it, by RFC 9112, 2.3, 3.2, 5.1, 5.2 and 6.1 to 6.3. A request with a fault gets 400, its connection is closed, and nothing behind its head is read (event 906, counter requests_malformed). RequestReader finds the requests in the bytes of a connection, without input and output; HttpServer, and so the listeners for callers, readiness and metrics, uses it. Only the listener for callers requires a Host: probes come without. In HttpClient, an answer with a fault ends its call as broken (event 225, formerly for the status only), from upstreams, the store and the platform. Fields of trailers are no fields of a request or an answer any more.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -57,7 +57,7 @@
   kForeignAnswer = 222,
   kUpstreamStatesLeaving = 223,
   kUpstreamDeparture = 224,
-  kInvalidStatus = 225,
+  kAnswerMalformed = 225,
   kFeedRestarted = 402,
   kStoreAnswerUnexpected = 403,
   kRecordUnreadable = 404,
@@ -92,6 +92,7 @@
   kRequestRefused = 901,
   kAttemptFailed = 902,
   kCallerLeft = 903,
+  kRequestMalformed = 906,
 };
 std::string_view NameOf(LogEvent event);
 
--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -58,8 +58,12 @@
 void RemoveHeader(Headers& headers, std::string_view name);
 // True for hop-by-hop fields (RFC 9110, 7.6.1), and for Content-Length, which each sender sets itself.
 bool IsConnectionHeader(std::string_view name);
-// True if the field can be sent: its name is a token (RFC 9110, 5.6.2), its value has no control character
-// other than a tab, and both together have at most kMaxFieldBytes.
+// True if the text is a token (RFC 9110, 5.6.2), as names of fields are.
+bool IsToken(std::string_view text);
+// True if the text has a control character other than a tab.
+bool HasControlCharacter(std::string_view text);
+// True if the field can be sent: its name is a token, its value has no control character, and both together have
+// at most kMaxFieldBytes.
 bool IsSendableField(std::string_view name, std::string_view value);
 inline constexpr std::size_t kMaxFieldBytes = 60000;  // Boost.Beast throws on fields of 64 KB
 // True if a request with this target can be sent: it begins with a slash and has no space or control
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 82> kEventNames = {{
+constexpr std::array<EventName, 83> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -72,7 +72,7 @@
     {LogEvent::kForeignAnswer, "foreign_answer"},
     {LogEvent::kUpstreamStatesLeaving, "upstream_states_leaving"},
     {LogEvent::kUpstreamDeparture, "upstream_departure"},
-    {LogEvent::kInvalidStatus, "invalid_status"},
+    {LogEvent::kAnswerMalformed, "answer_malformed"},
     {LogEvent::kFeedRestarted, "feed_restarted"},
     {LogEvent::kStoreAnswerUnexpected, "store_answer_unexpected"},
     {LogEvent::kRecordUnreadable, "record_unreadable"},
@@ -107,6 +107,7 @@
     {LogEvent::kRequestRefused, "request_refused"},
     {LogEvent::kAttemptFailed, "attempt_failed"},
     {LogEvent::kCallerLeft, "caller_left"},
+    {LogEvent::kRequestMalformed, "request_malformed"},
 }};
 
 spdlog::level::level_enum SpdlogLevel(LogLevel level) {
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -14,6 +14,7 @@
 #include "oleander/log_events.h"
 #include "oleander/metrics.h"
 #include "serving/http_address.h"
+#include "serving/http_framing.h"
 #include "serving/text.h"
 
 namespace oleander::serving {
@@ -64,10 +65,11 @@
   bool head_reported = false;
   bool head_request = false;  // a HEAD request: the response has no body
   std::size_t max_body_bytes = 0;
-  bool invalid_status = false;     // the response states a status that HTTP does not have
-  bool over_limit = false;         // more than `max_body_bytes`, or than kMaxUnparsedBytes
-  std::size_t received_bytes = 0;  // of the response, framing included
-  std::size_t body_bytes = 0;      // of the response, decoded
+  HeadFault head_fault = HeadFault::kNone;  // of the response
+  HttpResponse head;                        // of the response, until it is reported
+  bool over_limit = false;                  // more than `max_body_bytes`, or than kMaxUnparsedBytes
+  std::size_t received_bytes = 0;           // of the response, framing included
+  std::size_t body_bytes = 0;               // of the response, decoded
   absl::Duration connect_timeout;
   absl::Duration silence_timeout;
   absl::Time started;
@@ -112,7 +114,7 @@
   connection->max_body_bytes = call.max_body_bytes;
   connection->received_bytes = 0;
   connection->over_limit = false;
-  connection->invalid_status = false;
+  connection->head_fault = HeadFault::kNone;
   connection->body_bytes = 0;
   connection->connect_timeout = limits_.connect_timeout;
   connection->silence_timeout = call.silence_timeout;
@@ -253,6 +255,15 @@
                                      });
 }
 
+// Keeps the head of the response apart from the fields of a trailer, which the parser adds to the same
+// message.
+void HttpClient::TakeHead(Connection& connection) {
+  const http::response<http::string_body>& message = connection.parser->get();
+  connection.head = {static_cast<int>(message.result_int()), std::string(message.reason()), {}, ""};
+  for (const http::fields::value_type& it : message)
+    connection.head.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+}
+
 // Returns false if the connection failed or the received bytes are not an HTTP response.
 bool HttpClient::Parse(Connection& connection, boost::system::error_code received) {
   boost::system::error_code ec;
@@ -266,16 +277,23 @@
   connection.over_limit = connection.buffer.size() > kMaxUnparsedBytes;
   if (connection.over_limit) return false;
   while (connection.buffer.size() > 0 && !connection.parser->is_done()) {
-    const std::size_t used = connection.parser->put(connection.buffer.data(), ec);
+    const std::string_view bytes(static_cast<const char*>(connection.buffer.data().data()),
+                                 connection.buffer.size());
+    std::optional<std::size_t> head_end;
+    if (!connection.parser->is_header_done()) {
+      head_end = FindHeadEnd(bytes);
+      if (!head_end) return true;
+      connection.head_fault = JudgeAnswerHead(bytes.substr(0, *head_end));
+      if (connection.head_fault != HeadFault::kNone) return false;
+    }
+    const std::size_t used =
+        connection.parser->put(asio::buffer(bytes.data(), head_end.value_or(bytes.size())), ec);
     connection.buffer.consume(used);
-    // Beast accepts any three digits.
-    connection.invalid_status = connection.parser->is_header_done() &&
-                                !IsHttpStatus(static_cast<int>(connection.parser->get().result_int()));
-    if (connection.invalid_status) return false;
-    if (ec == http::error::need_more) return true;
+    if (ec == http::error::need_more) ec = {};
     connection.over_limit = ec == http::error::body_limit;
     if (ec) return false;
     if (used == 0) break;
+    if (head_end && connection.parser->is_header_done()) TakeHead(connection);
     if (!connection.parser->is_done()) continue;
     // An interim response is followed by the final one (RFC 9110, 15.2).
     const int status = static_cast<int>(connection.parser->get().result_int());
@@ -318,13 +336,7 @@
   }
   if (!failed && parser.is_header_done() && !connection->head_reported) {
     connection->head_reported = true;
-    HttpResponse head;
-    const http::response<http::string_body>& message = parser.get();
-    head.status = static_cast<int>(message.result_int());
-    head.reason = std::string(message.reason());
-    for (const http::fields::value_type& it : message) {
-      head.headers.push_back({std::string(it.name_string()), std::string(it.value())});
-    }
+    const HttpResponse head = std::move(connection->head);
     connection->idle_until =
         loop_.Now() + std::min(limits_.max_idle, ParseKeepAliveTimeout(FindHeader(head.headers, "Keep-Alive"),
                                                                        limits_.max_idle + kKeepAliveMargin) -
@@ -342,7 +354,7 @@
     if (connection->handlers.on_body) connection->handlers.on_body(piece);
     if (connection->call != id) return;
   }
-  if (connection->invalid_status) LogInvalidStatus(*connection);
+  if (connection->head_fault != HeadFault::kNone) LogMalformedHead(*connection);
   if (failed) {
     Finish(connection, connection->over_limit ? CallEnd::kTooLarge : CallEnd::kBroken);
   } else if (parser.is_done()) {
@@ -406,11 +418,11 @@
                 {"silent_ms", absl::ToInt64Milliseconds(loop_.Now() - silent_since)}});
 }
 
-void HttpClient::LogInvalidStatus(const Connection& connection) const {
-  AddCounter(GlobalMetrics(), "upstream_answers_refused", "invalid_status");
-  LogEventLine(LogLevel::kWarning, LogEvent::kInvalidStatus,
+void HttpClient::LogMalformedHead(const Connection& connection) const {
+  AddCounter(GlobalMetrics(), "upstream_answers_refused", NameOf(connection.head_fault));
+  LogEventLine(LogLevel::kWarning, LogEvent::kAnswerMalformed,
                {{"address", connection.address},
-                {"status", static_cast<int>(connection.parser->get().result_int())},
+                {"reason", NameOf(connection.head_fault)},
                 {"received", connection.received_bytes},
                 {"ms", absl::ToInt64Milliseconds(loop_.Now() - connection.started)}});
 }
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -75,13 +75,14 @@
   void Send(const ConnectionPtr& connection);
   void Receive(const ConnectionPtr& connection);
   static void ResetParser(Connection& connection);
+  static void TakeHead(Connection& connection);
   static bool Parse(Connection& connection, boost::system::error_code received);
   void OnReceived(const ConnectionPtr& connection, bool failed);
   bool CheckSizeLimits(const ConnectionPtr& connection, std::size_t body_bytes);
   void AbortLargest();
   void Finish(const ConnectionPtr& connection, CallEnd end);
   void CloseSuspects(const std::string& address, absl::Time silent_since);
-  void LogInvalidStatus(const Connection& connection) const;
+  void LogMalformedHead(const Connection& connection) const;
   void LogUnanswered(const Connection& connection) const;
   void KeepIdle(const ConnectionPtr& connection);
   void ScheduleTimeoutCheck(const ConnectionPtr& connection);
--- a/src/serving/http_messages.cc
+++ b/src/serving/http_messages.cc
@@ -57,15 +57,21 @@
   return false;
 }
 
-bool IsSendableField(std::string_view name, std::string_view value) {
-  const bool token = !name.empty() && std::all_of(name.begin(), name.end(), [](char it) {
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char it) {
     return absl::ascii_isalnum(static_cast<unsigned char>(it)) ||
            kTokenMarks.find(it) != std::string_view::npos;
   });
-  const bool text = std::none_of(value.begin(), value.end(), [](char it) {
+}
+
+bool HasControlCharacter(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char it) {
     return it != '\t' && absl::ascii_iscntrl(static_cast<unsigned char>(it));
   });
-  return token && text && name.size() + value.size() <= kMaxFieldBytes;
+}
+
+bool IsSendableField(std::string_view name, std::string_view value) {
+  return IsToken(name) && !HasControlCharacter(value) && name.size() + value.size() <= kMaxFieldBytes;
 }
 
 bool IsSendableTarget(std::string_view target) {
--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -2,13 +2,15 @@
 
 #include <sys/socket.h>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 #include <utility>
 #include <vector>
 
+#include "oleander/log_events.h"
+#include "oleander/metrics.h"
 #include "serving/http_address.h"
+#include "serving/request_reader.h"
 
 namespace oleander::serving {
 
@@ -17,24 +19,19 @@
 using tcp = asio::ip::tcp;
 
 namespace {
-constexpr std::size_t kReadBytes = 4 << 10;  // initial size of the read buffer
 constexpr int kListenBacklog = 1024;
 // After a failed accept, for example when the process has no free file descriptors.
 constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(50);
 }  // namespace
 
 struct HttpServer::Connection {
-  explicit Connection(tcp::socket accepted) : socket(std::move(accepted)), buffer(kMaxUnparsedBytes) {
-    buffer.reserve(kReadBytes);
-  }
+  explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) {}
 
   std::uint64_t id = 0;
   tcp::socket socket;
-  beast::flat_buffer buffer;
-  std::optional<http::request_parser<http::string_body>> parser;
+  RequestReader reader;
   http::response<http::string_body> outbound;
   ExchangeId exchange = 0;  // 0: no request is being processed
-  bool keep_alive = true;
   bool writing = false;
   std::function<void()> on_disconnect;
   absl::Time read_started;  // start of the current read of a request
@@ -72,19 +69,28 @@
     connection->socket.set_option(tcp::no_delay(true), ignored);
     connection->id = next_id_++;
     connections_[connection->id] = connection;
-    ReadRequest(connection);
+    StartRequest(connection);
     Accept();
   });
 }
 
-void HttpServer::ReadRequest(const ConnectionPtr& connection) {
-  connection->parser.emplace();
-  connection->parser->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
-  connection->parser->body_limit(static_cast<std::uint64_t>(limits_.max_body_bytes));
+void HttpServer::StartRequest(const ConnectionPtr& connection) {
   connection->read_started = loop_.Now();
   if (connection->timer == 0) ScheduleIdleCheck(connection);
-  http::async_read(connection->socket, connection->buffer, *connection->parser,
-                   [this, connection](boost::system::error_code ec, std::size_t) { OnRead(connection, ec); });
+  Advance(connection);
+}
+
+void HttpServer::Receive(const ConnectionPtr& connection) {
+  connection->socket.async_read_some(connection->reader.buffer.prepare(BytesToReceive(connection->reader)),
+                                     [this, connection](boost::system::error_code ec, std::size_t n) {
+                                       if (!connection->socket.is_open()) return;
+                                       connection->reader.buffer.commit(n);
+                                       if (ec) {
+                                         Close(connection);
+                                       } else {
+                                         Advance(connection);
+                                       }
+                                     });
 }
 
 // Closes the connection if no complete request arrives within the idle timeout.
@@ -101,34 +107,24 @@
   });
 }
 
-void HttpServer::OnRead(const ConnectionPtr& connection, boost::system::error_code ec) {
-  if (!connection->socket.is_open()) return;
-  if (ec) {
-    if (ec == http::error::body_limit) {
-      WriteResponse(connection, {413, "", {}, ""}, true);
-    } else if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-      WriteResponse(connection, {431, "", {}, ""}, true);
-    } else if (ec.category() == make_error_code(http::error::bad_method).category() &&
-               ec != http::error::end_of_stream && ec != http::error::partial_message) {
-      WriteResponse(connection, {400, "", {}, ""}, true);
-    } else {
-      Close(connection);
-    }
+void HttpServer::Advance(const ConnectionPtr& connection) {
+  const ReadOutcome outcome = serving::ReadRequest(connection->reader, limits_, host_required_);
+  if (outcome.state == ReadState::kNeedsBytes) {
+    Receive(connection);
     return;
   }
-  http::request<http::string_body> message = connection->parser->release();
-  connection->keep_alive = message.keep_alive();
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const http::fields::value_type& it : message) {
-    request.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+  if (outcome.state == ReadState::kRefused) {
+    if (outcome.fault != HeadFault::kNone) {
+      AddCounter(GlobalMetrics(), "requests_malformed", NameOf(outcome.fault));
+      LogEventLine(LogLevel::kInfo, LogEvent::kRequestMalformed, {{"reason", NameOf(outcome.fault)}});
+    }
+    WriteResponse(connection, {outcome.status, "", {}, ""}, true);
+    return;
   }
-  request.body = std::move(message.body());
   connection->exchange = next_id_++;
   exchanges_[connection->exchange] = connection;
   WatchForDisconnect(connection);
-  on_request_(connection->exchange, std::move(request));
+  on_request_(connection->exchange, std::move(connection->reader.request));
 }
 
 // Reports a caller that closes its connection. Bytes of a pipelined request stay in the socket until the
@@ -161,7 +157,7 @@
   exchanges_.erase(it);
   connection->exchange = 0;
   connection->on_disconnect = nullptr;
-  WriteResponse(connection, std::move(response), closing_ || !connection->keep_alive);
+  WriteResponse(connection, std::move(response), closing_ || !connection->reader.keep_alive);
 }
 
 void HttpServer::WriteResponse(const ConnectionPtr& connection, HttpResponse response, bool close) {
@@ -189,7 +185,7 @@
                         Close(connection);
                         return;
                       }
-                      ReadRequest(connection);
+                      StartRequest(connection);
                     });
 }
 
@@ -199,8 +195,8 @@
   acceptor_.close(ignored);
   std::vector<ConnectionPtr> idle;
   for (const std::pair<const std::uint64_t, ConnectionPtr>& it : connections_) {
-    const bool reading = it.second->parser && it.second->parser->got_some();
-    if (it.second->exchange == 0 && !it.second->writing && !reading) idle.push_back(it.second);
+    if (it.second->exchange == 0 && !it.second->writing && !IsReading(it.second->reader))
+      idle.push_back(it.second);
   }
   for (const ConnectionPtr& it : idle) Close(it);
 }
--- a/src/serving/http_server.h
+++ b/src/serving/http_server.h
@@ -26,6 +26,9 @@
   // Returns false if the address cannot be bound.
   bool Listen(const std::string& address);
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
+  // From now on, refuses requests of HTTP/1.1 without a Host field. Probes may lack it, so it is off by
+  // default.
+  void RequireHost() { host_required_ = true; }
   // Does nothing if the caller has disconnected.
   void Respond(ExchangeId id, HttpResponse response);
   // Invokes `fn` once if the caller closes the connection before Respond is called.
@@ -40,8 +43,9 @@
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
   void Accept();
-  void ReadRequest(const ConnectionPtr& connection);
-  void OnRead(const ConnectionPtr& connection, boost::system::error_code ec);
+  void StartRequest(const ConnectionPtr& connection);
+  void Receive(const ConnectionPtr& connection);
+  void Advance(const ConnectionPtr& connection);
   void WatchForDisconnect(const ConnectionPtr& connection);
   void WriteResponse(const ConnectionPtr& connection, HttpResponse response, bool close);
   void ScheduleIdleCheck(const ConnectionPtr& connection);
@@ -50,6 +54,7 @@
   EventLoop& loop_;
   RequestHandler on_request_;
   CallerLimits limits_;
+  bool host_required_ = false;
   bool closing_ = false;
   asio::ip::tcp::acceptor acceptor_;
   std::uint64_t next_id_ = 1;
--- /dev/null
+++ b/src/serving/request_reader.cc
@@ -0,0 +1,91 @@
+#include "serving/request_reader.h"
+
+#include <algorithm>
+#include <limits>
+#include <string_view>
+#include <utility>
+
+namespace oleander::serving {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReceiveBytes = 4 << 10;       // for a head, and for short bodies
+constexpr std::size_t kReceiveBodyBytes = 32 << 10;  //
+
+constexpr int kBadRequest = 400;
+constexpr int kContentTooLarge = 413;
+constexpr int kHeaderFieldsTooLarge = 431;
+
+ReadOutcome Refuse(int status, HeadFault fault = HeadFault::kNone) {
+  return {ReadState::kRefused, status, fault};
+}
+
+// Gives `n` bytes of the buffer to the parser. Returns the number of bytes that it has consumed.
+std::size_t Put(RequestReader& reader, std::size_t n, boost::system::error_code& ec) {
+  const std::size_t used = reader.parser->put(boost::asio::buffer(reader.buffer.data().data(), n), ec);
+  reader.buffer.consume(used);
+  if (ec == http::error::need_more) ec = {};
+  return used;
+}
+
+// Starts a request if the buffer has a complete head.
+ReadOutcome ReadHead(RequestReader& reader, const CallerLimits& limits, bool host_required) {
+  const std::string_view bytes(static_cast<const char*>(reader.buffer.data().data()), reader.buffer.size());
+  const std::optional<std::size_t> end = FindHeadEnd(bytes);
+  const std::size_t max_bytes = std::min(
+      kMaxUnparsedBytes - 1, static_cast<std::size_t>(std::max<std::int64_t>(0, limits.max_header_bytes)));
+  if (end.value_or(bytes.size()) > max_bytes) return Refuse(kHeaderFieldsTooLarge);
+  if (!end) return {};
+  const HeadFault fault = JudgeRequestHead(bytes.substr(0, *end), host_required);
+  if (fault != HeadFault::kNone) return Refuse(kBadRequest, fault);
+  reader.parser.emplace();
+  reader.parser->eager(true);
+  reader.parser->header_limit(std::numeric_limits<std::uint32_t>::max());
+  reader.parser->body_limit(static_cast<std::uint64_t>(limits.max_body_bytes));
+  boost::system::error_code ec;
+  Put(reader, *end, ec);
+  if (ec == http::error::body_limit) return Refuse(kContentTooLarge);
+  if (ec || !reader.parser->is_header_done()) return Refuse(kBadRequest);
+  const http::request<http::string_body>& message = reader.parser->get();
+  reader.keep_alive = message.keep_alive();
+  reader.request = {};
+  reader.request.method = std::string(message.method_string());
+  reader.request.target = std::string(message.target());
+  for (const http::fields::value_type& it : message)
+    reader.request.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+  return {};
+}
+
+}  // namespace
+
+ReadOutcome ReadRequest(RequestReader& reader, const CallerLimits& limits, bool host_required) {
+  if (!reader.parser) {
+    const ReadOutcome head = ReadHead(reader, limits, host_required);
+    if (head.state == ReadState::kRefused || !reader.parser) return head;
+  }
+  while (!reader.parser->is_done() && reader.buffer.size() > 0) {
+    boost::system::error_code ec;
+    const std::size_t used = Put(reader, reader.buffer.size(), ec);
+    if (ec == http::error::body_limit) return Refuse(kContentTooLarge);
+    if (ec) return Refuse(kBadRequest);
+    if (used == 0) break;
+  }
+  if (reader.parser->is_done()) {
+    reader.request.body = std::move(reader.parser->get().body());
+    reader.parser.reset();
+    return {ReadState::kComplete};
+  }
+  // A chunk header or trailer that does not fit in the buffer.
+  return reader.buffer.size() >= reader.buffer.max_size() ? Refuse(kHeaderFieldsTooLarge) : ReadOutcome{};
+}
+
+std::size_t BytesToReceive(const RequestReader& reader) {
+  return std::min(reader.parser ? kReceiveBodyBytes : kReceiveBytes,
+                  reader.buffer.max_size() - reader.buffer.size());
+}
+
+bool IsReading(const RequestReader& reader) { return reader.parser || reader.buffer.size() > 0; }
+
+}  // namespace oleander::serving
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <string>
@@ -364,6 +365,42 @@
   EXPECT_EQ(client.Counts().connections, 2);
 }
 
+// Guards against request smuggling: what follows a head whose body has no known end is run as a request of
+// its own.
+TEST_F(ServingHttpTest, ARequestInsideABodyIsNeverRun) {
+  std::vector<std::string> handled;
+  HttpServer* running = nullptr;
+  HttpServer server(loop, [&](ExchangeId id, HttpRequest request) {
+    handled.push_back(request.target);
+    running->Respond(id, {200, "", {}, ""});
+  });
+  running = &server;
+  ASSERT_TRUE(server.Listen("127.0.0.1:21881"));
+  const std::vector<std::string> fields = {
+      "Transfer-Encoding: gzip", "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: identity",
+      "TRANSFER-ENCODING: GZIP", "Transfer-Encoding:\tgzip",         "Transfer-Encoding:\r\n gzip",
+      "Transfer-Encoding: x",    "Transfer-Encoding: \"chunked\"",   "Host: other"};
+  std::vector<std::string> answers;
+  std::thread callers([&] {
+    for (const std::string& it : fields) {
+      asio::io_context context;
+      tcp::socket socket(context);
+      boost::system::error_code ec;
+      socket.connect({asio::ip::make_address("127.0.0.1"), 21881}, ec);
+      WriteText(socket, absl::StrCat("POST /outer HTTP/1.1\r\nHost: h\r\n", it,
+                                     "\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+      std::string answer;
+      asio::read(socket, asio::dynamic_buffer(answer), ec);
+      answers.push_back(answer.substr(0, 12));
+    }
+    loop.Stop();
+  });
+  Run();
+  callers.join();
+  EXPECT_EQ(handled, std::vector<std::string>());
+  EXPECT_EQ(answers, std::vector<std::string>(fields.size(), "HTTP/1.1 400"));
+}
+
 // Guards against reading or handling requests that exceed the limits.
 TEST_F(ServingHttpTest, TheServerRefusesTooLargeAndMalformedRequests) {
   int handled = 0;
