Compare found requests, not statuses, in the fuzz target for requests

Cause: Boost.Beast counts a chunk against the limit of the body again each time that it reads such an extension and waits for more. What is promised is that the same requests are found and that what follows is refused alike; a refusal closes the connection with either status.

Change: the comparison is of the requests and of whether the rest is refused.

--- a/fuzz/http_requests.h
+++ b/fuzz/http_requests.h
@@ -16,7 +16,11 @@
 struct FoundRequests {
   std::vector<std::string> requests;  // method, target, fields and body of each
   int refused = 0;                    // status of the answer after the last one; 0: none
-  bool operator==(const FoundRequests& other) const = default;
+  // The status may differ: Boost.Beast counts a chunk again against the limit of the body each time that it
+  // reads an extension with an open quote, so such a body is malformed (400) or too large (413).
+  bool operator==(const FoundRequests& other) const {
+    return requests == other.requests && (refused == 0) == (other.refused == 0);
+  }
 };
 
 // `next_size` returns the size of the next piece, at least 1.
