Keep a stopping process until its answers have been read

A refusal to a caller that is still sending its body may be lost in a reset.

Cause: an exchange ended when its answer was handed to the connection, so a process with answers in its buffers looked idle; and a connection was closed right after its last answer, whatever had not been read of it.

Change: BusyConnections counts connections until their answer has been taken by the kernel and, after the last one, until the caller closes or 2 s have passed. Until then the end is sent and what comes is discarded (RFC 9112, 9.6).

--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/beast/http.hpp>
 #include <optional>
 #include <utility>
@@ -20,6 +21,8 @@
 
 namespace {
 constexpr int kListenBacklog = 1024;
+constexpr std::size_t kDiscardBytes = 16 << 10;           // in one read
+constexpr absl::Duration kLingerTime = absl::Seconds(2);  // for the caller to read its last answer and close
 // After a failed accept, for example when the process has no free file descriptors.
 constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(50);
 }  // namespace
@@ -33,6 +36,7 @@
   http::response<http::string_body> outbound;
   ExchangeId exchange = 0;  // 0: no request is being processed
   bool writing = false;
+  bool lingering = false;  // the last answer has been sent
   std::function<void()> on_disconnect;
   absl::Time read_started;  // start of the current read of a request
   TimerId timer = 0;
@@ -179,16 +183,54 @@
                     [this, connection, close](boost::system::error_code ec, std::size_t) {
                       connection->writing = false;
                       if (!connection->socket.is_open()) return;
-                      if (ec || close || !acceptor_.is_open()) {
-                        boost::system::error_code shutdown_ignored;
-                        connection->socket.shutdown(tcp::socket::shutdown_send, shutdown_ignored);
+                      if (ec) {
                         Close(connection);
-                        return;
+                      } else if (close || !acceptor_.is_open()) {
+                        Linger(connection);
+                      } else {
+                        StartRequest(connection);
                       }
-                      StartRequest(connection);
                     });
 }
 
+// Ends a connection after its last answer. Closing it while it has unread bytes, such as the rest of a
+// refused body, resets it, and the reset may overtake the answer (RFC 9112, 9.6). So the caller closes first.
+void HttpServer::Linger(const ConnectionPtr& connection) {
+  connection->lingering = true;
+  boost::system::error_code ignored;
+  connection->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  loop_.Cancel(connection->timer);
+  connection->timer = loop_.After(kLingerTime, [this, connection] {
+    connection->timer = 0;
+    Close(connection);
+  });
+  Discard(connection);
+}
+
+void HttpServer::Discard(const ConnectionPtr& connection) {
+  connection->reader.buffer.clear();
+  connection->socket.async_read_some(connection->reader.buffer.prepare(kDiscardBytes),
+                                     [this, connection](boost::system::error_code ec, std::size_t) {
+                                       if (!connection->socket.is_open()) return;
+                                       if (ec) {
+                                         Close(connection);
+                                       } else {
+                                         Discard(connection);
+                                       }
+                                     });
+}
+
+bool HttpServer::IsBusy(const Connection& connection) {
+  return connection.exchange != 0 || connection.writing || connection.lingering ||
+         IsReading(connection.reader);
+}
+
+int HttpServer::BusyConnections() const {
+  return static_cast<int>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const std::pair<const std::uint64_t, ConnectionPtr>& it) { return IsBusy(*it.second); }));
+}
+
 void HttpServer::StopAccepting() {
   closing_ = true;
   boost::system::error_code ignored;
--- a/src/serving/http_server.h
+++ b/src/serving/http_server.h
@@ -35,9 +35,11 @@
   void OnCallerDisconnect(ExchangeId id, std::function<void()> fn);
   // From now on closes each connection after its next response; new connections are still accepted.
   void CloseAfterAnswers() { closing_ = true; }
-  // Stops listening and closes connections on which no request is being processed or received.
+  // Stops listening and closes connections that are not busy.
   void StopAccepting();
-  int OpenExchanges() const { return static_cast<int>(exchanges_.size()); }
+  // Connections on which a request is being received or processed, an answer is being sent, or the caller has
+  // not closed yet after the last answer. A process that exits before there are none cuts answers off.
+  int BusyConnections() const;
 
  private:
   struct Connection;
@@ -48,6 +50,9 @@
   void Advance(const ConnectionPtr& connection);
   void WatchForDisconnect(const ConnectionPtr& connection);
   void WriteResponse(const ConnectionPtr& connection, HttpResponse response, bool close);
+  void Linger(const ConnectionPtr& connection);
+  void Discard(const ConnectionPtr& connection);
+  static bool IsBusy(const Connection& connection);
   void ScheduleIdleCheck(const ConnectionPtr& connection);
   void Close(const ConnectionPtr& connection);
 
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -489,7 +489,7 @@
   Run();
   caller.join();
   EXPECT_TRUE(disconnected);
-  EXPECT_EQ(server.OpenExchanges(), 0);
+  EXPECT_EQ(server.BusyConnections(), 0);
 }
 
 // Guards against a shutdown that drops an answer in progress.
@@ -508,5 +508,68 @@
   EXPECT_EQ(result->end, CallEnd::kComplete);
 }
 
+// Guards against a shutdown that cuts answers off: a server that has handed an answer to the kernel only in
+// part must not look idle.
+TEST_F(ServingHttpTest, AServerIsBusyUntilItsAnswerIsRead) {
+  constexpr std::size_t kAnswerBytes = 24 << 20;  // more than the socket buffers hold
+  HttpServer* running = nullptr;
+  int busy_after_respond = -1;
+  HttpServer server(loop, [&](ExchangeId id, HttpRequest) {
+    running->CloseAfterAnswers();
+    running->StopAccepting();
+    running->Respond(id, {200, "", {}, std::string(kAnswerBytes, 'x')});
+    loop.After(absl::Milliseconds(100), [&] { busy_after_respond = running->BusyConnections(); });
+  });
+  running = &server;
+  ASSERT_TRUE(server.Listen("127.0.0.1:21882"));
+  std::size_t received = 0;
+  std::thread caller([&] {
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code ec;
+    socket.connect({asio::ip::make_address("127.0.0.1"), 21882}, ec);
+    WriteText(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    absl::SleepFor(absl::Milliseconds(300));
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    received = answer.size() - answer.find("\r\n\r\n") - 4;
+    loop.Stop();
+  });
+  Run();
+  caller.join();
+  EXPECT_EQ(busy_after_respond, 1);
+  EXPECT_EQ(received, kAnswerBytes);
+}
+
+// Guards against a reset that overtakes the answer to a caller that is still sending: the connection ends in
+// order.
+TEST_F(ServingHttpTest, ARefusalReachesACallerThatIsStillSending) {
+  HttpServer server(loop, [](ExchangeId, HttpRequest) {});
+  CallerLimits limits;
+  limits.max_body_bytes = 1000;
+  server.SetLimits(limits);
+  ASSERT_TRUE(server.Listen("127.0.0.1:21883"));
+  std::string answer;
+  boost::system::error_code sent;
+  boost::system::error_code ended;
+  std::thread caller([&] {
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), 21883}, ended);
+    WriteText(socket, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n");
+    for (int it = 0; it < 5; ++it) {
+      absl::SleepFor(absl::Milliseconds(20));
+      asio::write(socket, asio::buffer(std::string(100000, 'x')), sent);
+    }
+    asio::read(socket, asio::dynamic_buffer(answer), ended);
+    loop.Stop();
+  });
+  Run();
+  caller.join();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 413")) << answer;
+  EXPECT_FALSE(sent) << sent.message();
+  EXPECT_EQ(ended, asio::error::eof) << ended.message();
+}
+
 }  // namespace
 }  // namespace oleander::serving
