--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -508,6 +509,42 @@
   EXPECT_EQ(result->end, CallEnd::kComplete);
 }
 
+// Guards against limits that apply to new connections only: a connection that was idle when the limits
+// changed must follow the new ones with its next request (review/5).
+TEST_F(ServingHttpTest, LimitsReachOpenConnections) {
+  HttpServer* running = nullptr;
+  HttpServer server(loop, [&](ExchangeId id, HttpRequest) { running->Respond(id, {200, "", {}, ""}); });
+  running = &server;
+  CallerLimits limits;
+  limits.max_header_bytes = 200;
+  limits.max_body_bytes = 1000;
+  server.SetLimits(limits);
+  ASSERT_TRUE(server.Listen("127.0.0.1:21884"));
+  const std::string large = absl::StrCat("POST / HTTP/1.1\r\nHost: h\r\nX: ", std::string(300, 'x'),
+                                         "\r\nContent-Length: 2000\r\n\r\n", std::string(2000, 'x'));
+  std::vector<std::string> answers;
+  std::thread caller([&] {
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code ec;
+    socket.connect({asio::ip::make_address("127.0.0.1"), 21884}, ec);
+    for (const int change : {0, 1, 2}) {  // none, raised, lowered
+      absl::SleepFor(absl::Milliseconds(30));
+      limits.max_header_bytes = change == 1 ? 4096 : 200;
+      limits.max_body_bytes = change == 1 ? 4096 : 1000;
+      asio::post(loop.Context(), [&server, limits] { server.SetLimits(limits); });
+      absl::SleepFor(absl::Milliseconds(30));
+      WriteText(socket, change == 0 ? "GET / HTTP/1.1\r\nHost: h\r\n\r\n" : large);
+      answers.push_back(ReadHead(socket).substr(0, 12));
+    }
+    loop.Stop();
+  });
+  Run();
+  caller.join();
+  const std::vector<std::string> expected = {"HTTP/1.1 200", "HTTP/1.1 200", "HTTP/1.1 431"};
+  EXPECT_EQ(answers, expected);
+}
+
 // Guards against a shutdown that cuts answers off: a server that has handed an answer to the kernel only in
 // part must not look idle.
 TEST_F(ServingHttpTest, AServerIsBusyUntilItsAnswerIsRead) {
