--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -119,7 +119,7 @@
   absl::Time attempt_sent;  // when it was last sent
   absl::Time confirmed_at;  // when the last write that the store has confirmed was sent
   int confirmed_writes = 0;
-  absl::Time owned_since;  //
+  absl::Time owned_since;
   absl::Time last_checkpoint;
   bool checkpoint_in_flight = false;
   std::size_t checkpoint_from = 0;              // index of the item at which the next checkpoint begins
