--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -25,6 +25,7 @@
 
 constexpr std::size_t kMaxBodyBytes = 1 << 20;  // of one answer; Limits() sets that of all answers together
 constexpr std::size_t kSocketBufferBytes = 16 << 20;  // limit of unread data in socket buffers
+constexpr std::size_t kUnbufferedBytes = 24 << 20;    // an answer that socket buffers do not hold as a whole
 
 struct Result {
   int status = 0;
@@ -548,13 +549,12 @@
 // Guards against a shutdown that cuts answers off: a server that has handed an answer to the kernel only in
 // part must not look idle.
 TEST_F(ServingHttpTest, AServerIsBusyUntilItsAnswerIsRead) {
-  constexpr std::size_t kAnswerBytes = 24 << 20;  // more than the socket buffers hold
   HttpServer* running = nullptr;
   int busy_after_respond = -1;
   HttpServer server(loop, [&](ExchangeId id, HttpRequest) {
     running->CloseAfterAnswers();
     running->StopAccepting();
-    running->Respond(id, {200, "", {}, std::string(kAnswerBytes, 'x')});
+    running->Respond(id, {200, "", {}, std::string(kUnbufferedBytes, 'x')});
     loop.After(absl::Milliseconds(100), [&] { busy_after_respond = running->BusyConnections(); });
   });
   running = &server;
@@ -575,7 +575,7 @@
   Run();
   caller.join();
   EXPECT_EQ(busy_after_respond, 1);
-  EXPECT_EQ(received, kAnswerBytes);
+  EXPECT_EQ(received, kUnbufferedBytes);
 }
 
 // Guards against a reset that overtakes the answer to a caller that is still sending: the connection ends in
