--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -62,8 +62,8 @@
 bool IsToken(std::string_view text);
 // True if the text has a control character other than a tab.
 bool HasControlCharacter(std::string_view text);
-// True if the field can be sent: its name is a token, its value has no control character, and both together have
-// at most kMaxFieldBytes.
+// True if the field can be sent: its name is a token, its value has no control character, and both together
+// have at most kMaxFieldBytes.
 bool IsSendableField(std::string_view name, std::string_view value);
 inline constexpr std::size_t kMaxFieldBytes = 60000;  // Boost.Beast throws on fields of 64 KB
 // True if a request with this target can be sent: it begins with a slash and has no space or control
--- a/tests/serving_fakes.cc
+++ b/tests/serving_fakes.cc
@@ -108,9 +108,8 @@
     });
     return;
   }
-  store_.loop.After(delay + extra_delay, [this, make = std::move(make), done = std::move(done)] {
-    Transfer(make(), done);
-  });
+  store_.loop.After(delay + extra_delay,
+                    [this, make = std::move(make), done = std::move(done)] { Transfer(make(), done); });
 }
 
 void StorePort::Transfer(StoreReply reply, const StoreCallback& done) {
