Remove a field of a load that nothing used

LoadOp::object_bytes was never read or written; the bytes of a submission's objects are counted from the submission itself.

--- a/src/serving/batch_load.cc
+++ b/src/serving/batch_load.cc
@@ -20,13 +20,12 @@
 
 // Reads the items of an owned job.
 struct BatchService::LoadOp {
-  std::string job;               //
-  std::uint64_t id = 0;          // Job::load
-  absl::Time started;            //
-  absl::Time last_progress;      // last answer of the store
-  std::vector<Row> rows;         // read so far
-  std::string submission;        // bytes of its objects, read so far
-  std::size_t object_bytes = 0;  //
+  std::string job;           //
+  std::uint64_t id = 0;      // Job::load
+  absl::Time started;        //
+  absl::Time last_progress;  // last answer of the store
+  std::vector<Row> rows;     // read so far
+  std::string submission;    // bytes of its objects, read so far
 };
 
 // Takes a job over that a read has shown, if no host runs it.
