Read requests only as far as one account of held bytes has room

Callers saw: 60 bodies of 4 MB, whole but for the last byte or in pieces, took a host of 64 MB to 250 MB; sent far over the limit in chunks to 274 MB, in large chunks to 255 MB, in chunks of a byte to 93 MB, with trailers or chunk extensions that do not end to 250 MB; trailers on 1,000 connections to 141 MB. A platform that enforces the memory ends such a process, with every request on it. Cause: each connection read on up to the body limit, whatever the others held, and kept what it had after a refusal. Change: an account for the process (src/serving/held_bytes.h). A request takes room before it is read on; one without room waits unread, requests that have stalled give way (408), and it is refused (503) if that was not enough. Small and medium requests have room that larger ones cannot take. docs/design/held-bytes.md.

--- a/include/oleander/metrics.h
+++ b/include/oleander/metrics.h
@@ -51,9 +51,13 @@
   kConfigUnconfirmed,
   kJobsHeld,
   kZoneCutOff,
-  kStoreDown
+  kStoreDown,
+  kCallerConnections,
+  kHeldRequestBytes,
+  kHeldAnswerBytes,
+  kHeldJobBytes
 };
-inline constexpr int kGaugeCount = 8;
+inline constexpr int kGaugeCount = 12;
 std::string_view NameOf(Gauge gauge);
 
 // Process-wide. All functions may be called from any thread. Only AddCounter and ExposeText take a lock.
--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -78,6 +79,8 @@
   std::string target;  // path and query
   Headers headers;     //
   std::string body;    // without chunked encoding
+  // What the message takes on the account of held bytes, as long as a copy of this exists.
+  std::shared_ptr<void> held = nullptr;
 };
 struct HttpResponse {
   int status = 0;      //
--- a/src/hosts/metrics.cc
+++ b/src/hosts/metrics.cc
@@ -21,8 +21,9 @@
 constexpr std::array<std::string_view, kLatencyKindCount> kLatencyNames = {
     "lookup", "receipt", "interactive", "first_token", "batch_wait", "table_commit", "peer_call", "scoring"};
 constexpr std::array<std::string_view, kGaugeCount> kGaugeNames = {
-    "streams",   "queued",       "members_alive", "config_version", "config_unconfirmed",
-    "jobs_held", "zone_cut_off", "store_down"};
+    "streams",           "queued",        "members_alive", "config_version",     "config_unconfirmed",
+    "jobs_held",         "zone_cut_off",  "store_down",    "caller_connections", "held_request_bytes",
+    "held_answer_bytes", "held_job_bytes"};
 
 constexpr int kLatencyBins = 70;         // a bin's upper bound is 1.26 times its lower bound
 constexpr double kMinLatencyUs = 10;     // microseconds
--- a/src/serving/held_bytes.cc
+++ b/src/serving/held_bytes.cc
@@ -1,6 +1,7 @@
 #include "serving/held_bytes.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace oleander::serving {
@@ -11,21 +12,13 @@
 constexpr double kMemoryShare = 0.65;  // of the process's memory limit; a process at rest uses about 10 MB
 constexpr std::array<double, kHeldKindCount> kKindShares = {0.4, 0.4, 0.2};  // of the account
 
-// What the holders of a size may fill of the share of their kind. The rest is left to smaller ones.
-struct SizeClass {
-  std::size_t max_bytes;  // of a holder
-  double fill;            //
-};
-// A lookup has a few KB, the batch job of a training step a few hundred.
-constexpr std::array<SizeClass, 2> kSizeClasses = {{{64 << 10, 1.0}, {1 << 20, 0.8}}};
-constexpr double kLargeFill = 0.6;
-
-double FillOf(std::size_t bytes) {
-  for (const SizeClass& it : kSizeClasses) {
-    if (bytes <= it.max_bytes) return it.fill;
-  }
-  return kLargeFill;
-}
+constexpr std::size_t kMaxSmallBytes = 64 << 10;
+constexpr std::size_t kMaxMediumBytes = 1 << 20;
+
+// By HeldSize: how far holders of a size may fill the share of their kind, and the part of it that holders of
+// this and smaller sizes may fill in any case.
+constexpr std::array<double, kHeldSizeCount> kFill = {1.0, 0.8, 0.6};
+constexpr std::array<double, kHeldSizeCount> kReserved = {0.2, 0.4, 0.0};
 
 std::size_t PartOf(std::size_t bytes, double part) {
   return static_cast<std::size_t>(static_cast<double>(bytes) * part);
@@ -43,17 +36,33 @@
   return limits;
 }
 
-bool MayHold(const HeldLimits& limits, const BytesByKind& use, HeldKind kind, std::size_t held,
+HeldSize SizeOf(std::size_t bytes) {
+  if (bytes <= kMaxSmallBytes) return HeldSize::kSmall;
+  return bytes <= kMaxMediumBytes ? HeldSize::kMedium : HeldSize::kLarge;
+}
+
+std::size_t BytesOf(const HeldUse& use, HeldKind kind) {
+  const std::array<std::size_t, kHeldSizeCount>& sizes = use[static_cast<std::size_t>(kind)];
+  return std::accumulate(sizes.begin(), sizes.end(), std::size_t{0});
+}
+
+bool MayHold(const HeldLimits& limits, const HeldUse& use, HeldKind kind, std::size_t held,
              std::size_t wanted) {
   if (wanted <= held) return true;
-  const std::size_t share = limits.shares[static_cast<std::size_t>(kind)];
-  const std::size_t others = use[static_cast<std::size_t>(kind)] - held;
-  if (others + wanted <= PartOf(share, FillOf(wanted))) return true;
-  // A body within the callers' limits may exceed the share of a small host. It is served if no other large
-  // one is held.
+  const std::size_t index = static_cast<std::size_t>(kind);
+  const std::size_t share = limits.shares[index];
+  const std::size_t size = static_cast<std::size_t>(SizeOf(wanted));
+  std::array<std::size_t, kHeldSizeCount> others = use[index];
+  others[static_cast<std::size_t>(SizeOf(held))] -= held;
+  const std::size_t all = std::accumulate(others.begin(), others.end(), std::size_t{0});
+  if (all + wanted <= PartOf(share, kFill[size])) return true;
+  const std::size_t smaller = std::accumulate(others.begin(), others.begin() + size + 1, std::size_t{0});
+  if (smaller + wanted <= PartOf(share, kReserved[size])) return true;
+  const bool alone =
+      SizeOf(wanted) == HeldSize::kLarge && others[static_cast<std::size_t>(HeldSize::kLarge)] == 0;
   std::size_t total = wanted - held;
-  for (const std::size_t it : use) total += it;
-  return others <= PartOf(share, 1 - kLargeFill) && total <= limits.total;
+  for (std::size_t it = 0; it < kHeldKindCount; ++it) total += BytesOf(use, static_cast<HeldKind>(it));
+  return alone && total <= limits.total;
 }
 
 std::uint64_t ChooseRefused(const std::vector<RoomWaiter>& waiters, absl::Duration max_wait, absl::Time now) {
@@ -88,8 +97,9 @@
 
 void HeldCharge::Resize(std::size_t bytes) {
   if (account_ != nullptr) {
-    std::size_t& use = account_->use_[static_cast<std::size_t>(kind_)];
-    use = use - bytes_ + bytes;
+    std::array<std::size_t, kHeldSizeCount>& use = account_->use_[static_cast<std::size_t>(kind_)];
+    use[static_cast<std::size_t>(SizeOf(bytes_))] -= bytes_;
+    use[static_cast<std::size_t>(SizeOf(bytes))] += bytes;
   }
   bytes_ = bytes;
 }
--- a/src/serving/held_bytes.h
+++ b/src/serving/held_bytes.h
@@ -26,19 +26,32 @@
 inline constexpr std::size_t kHeldKindCount = 3;
 std::string_view NameOf(HeldKind kind);
 
-// Bytes of each kind, by HeldKind.
-using BytesByKind = std::array<std::size_t, kHeldKindCount>;
+// Of a holder, by its bytes.
+enum class HeldSize {
+  kSmall,   // a lookup
+  kMedium,  // the batch job of a training step
+  kLarge,   //
+};
+inline constexpr std::size_t kHeldSizeCount = 3;
+HeldSize SizeOf(std::size_t bytes);
 
 struct HeldLimits {
-  std::size_t total = 0;  // bytes of all kinds for which a single holder may exceed the share of its kind
-  BytesByKind shares{};   // bytes; their sum is `total`
+  std::size_t total = 0;                             // bytes
+  std::array<std::size_t, kHeldKindCount> shares{};  // bytes, by HeldKind; their sum is `total`
 };
+// Bytes held, by HeldKind and HeldSize.
+using HeldUse = std::array<std::array<std::size_t, kHeldSizeCount>, kHeldKindCount>;
+std::size_t BytesOf(const HeldUse& use, HeldKind kind);
+
 // `memory_bytes`: limit of the process. What is left of it is for the process itself and for copies that a
 // parser makes.
 HeldLimits HeldLimitsFor(std::size_t memory_bytes);
 
 // Returns whether a holder that holds `held` bytes of `kind` may hold `wanted` bytes. `use` includes `held`.
-bool MayHold(const HeldLimits& limits, const BytesByKind& use, HeldKind kind, std::size_t held,
+// Large holders fill at most three fifths of the share of their kind, medium ones add to four fifths of it;
+// small and medium ones have a part of their own besides. A single large one may exceed the share, so that a
+// body within the callers' limits is served by a small host, too.
+bool MayHold(const HeldLimits& limits, const HeldUse& use, HeldKind kind, std::size_t held,
              std::size_t wanted);
 
 // A connection whose request waits for room.
@@ -55,7 +68,7 @@
 class HeldBytes {
  public:
   explicit HeldBytes(const HeldLimits& limits) : limits_(limits) {}
-  std::size_t Held(HeldKind kind) const { return use_[static_cast<std::size_t>(kind)]; }
+  std::size_t Held(HeldKind kind) const { return BytesOf(use_, kind); }
   bool MayHold(HeldKind kind, std::size_t held, std::size_t wanted) const {
     return serving::MayHold(limits_, use_, kind, held, wanted);
   }
@@ -63,7 +76,7 @@
  private:
   friend class HeldCharge;
   HeldLimits limits_;
-  BytesByKind use_{};
+  HeldUse use_{};
 };
 
 // What one holder has on the account. Releases it when it is destroyed; the account must live longer.
--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_format.h"
 #include "oleander/log_events.h"
 #include "oleander/metrics.h"
 #include "serving/http_address.h"
@@ -30,8 +31,18 @@
 constexpr std::size_t kProgressBytes = 16 << 10;
 // A body or an answer without progress for this long may lose its connection to a new one.
 constexpr absl::Duration kTransferStall = absl::Seconds(1);
-
-constexpr int kRequestTimeout = 408;  // HTTP status: the request has not run
+// A request without progress for this long gives its room to one that waits.
+constexpr absl::Duration kRequestStall = absl::Milliseconds(500);
+// Longer than kRequestStall, so that a request that waits outlasts those that have stalled before it came.
+constexpr absl::Duration kMaxRoomWait = absl::Milliseconds(600);
+constexpr absl::Duration kRoomCheckInterval = absl::Milliseconds(20);
+// Retry-After of a request without room: these seconds and up to as many again, so that callers that were
+// refused together do not return together.
+constexpr double kMinRetryAfterSeconds = 0.3;
+
+// HTTP statuses: the request has not run.
+constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
 
 // Why the reader refuses a request, by the status of the answer.
 std::string_view ReasonOf(int status) {
@@ -61,6 +72,10 @@
   absl::Time progress_at;       // start of the current read or write, or when it last made progress
   std::size_t unaccounted = 0;  // bytes read or written since then
   TimerId linger_timer = 0;
+  HeldCharge charge;          // for the request that is being received
+  std::size_t body_room = 0;  // part of the charge
+  bool awaits_room = false;
+  absl::Time room_wanted_at;  //
 
   void StartProgress(absl::Time now) {
     progress_at = now;
@@ -108,6 +123,7 @@
   boost::system::error_code ignored;  // without the option only latency suffers
   connection->socket.set_option(tcp::no_delay(true), ignored);
   connection->id = next_id_++;
+  connection->charge = HeldCharge(account_, HeldKind::kRequests);
   connections_[connection->id] = connection;
   if (connections_.size() > max_connections_) {
     accept_paused_ = !CloseLeastActive(connection->id);
@@ -140,6 +156,78 @@
   Advance(connection);
 }
 
+// Returns false if the account has no room for what is received next.
+bool HttpServer::TakeRoom(Connection& connection) {
+  const std::size_t room = std::max(connection.body_room, BodyRoomNeeded(connection.reader, limits_));
+  const std::size_t memory = HeadAndBufferMemory(connection.reader) + room;
+  if (!IsReading(connection.reader)) {
+    connection.charge.Resize(memory);  // bounded by the number of connections
+  } else if (!connection.charge.TryResize(memory)) {
+    return false;
+  }
+  if (room > connection.body_room) ReserveBody(connection.reader, room);
+  connection.body_room = room;
+  return true;
+}
+
+void HttpServer::AwaitRoom(const ConnectionPtr& connection) {
+  connection->awaits_room = true;
+  connection->room_wanted_at = loop_.Now();
+  awaiting_room_.push_back(connection);
+  ScheduleRoomCheck();
+}
+
+void HttpServer::ScheduleRoomCheck() {
+  if (room_check_ != 0 || awaiting_room_.empty()) return;
+  room_check_ = loop_.After(kRoomCheckInterval, [this] {
+    room_check_ = 0;
+    CheckRoom();
+    ScheduleRoomCheck();
+  });
+}
+
+void HttpServer::CheckRoom() {
+  GiveRoomToWaiting();
+  while (!awaiting_room_.empty() && RefuseStalled()) GiveRoomToWaiting();
+  while (!awaiting_room_.empty()) {
+    std::vector<RoomWaiter> waiters;
+    for (const ConnectionPtr& it : awaiting_room_)
+      waiters.push_back({it->id, BodyReceived(it->reader), it->room_wanted_at});
+    const std::uint64_t refused = ChooseRefused(waiters, kMaxRoomWait, loop_.Now());
+    if (refused == 0) return;
+    Refuse(connections_.at(refused), kServiceUnavailable, "no_room");
+    GiveRoomToWaiting();
+  }
+}
+
+// Lets requests go on that have room now, oldest first.
+void HttpServer::GiveRoomToWaiting() {
+  std::erase_if(awaiting_room_, [this](const ConnectionPtr& it) {
+    if (!it->awaits_room || !it->socket.is_open()) return true;
+    if (!TakeRoom(*it)) return false;
+    it->awaits_room = false;
+    it->StartProgress(loop_.Now());
+    Receive(it);
+    return true;
+  });
+}
+
+// Refuses the request that has made no progress for the longest time, if that is long enough. Returns false
+// if there is none.
+bool HttpServer::RefuseStalled() {
+  ConnectionPtr stalled;
+  for (const std::pair<const std::uint64_t, ConnectionPtr>& it : connections_) {
+    const Connection& candidate = *it.second;
+    if (candidate.exchange != 0 || candidate.writing || candidate.lingering || candidate.awaits_room)
+      continue;
+    if (!IsReading(candidate.reader) || loop_.Now() - candidate.progress_at < kRequestStall) continue;
+    if (stalled == nullptr || candidate.progress_at < stalled->progress_at) stalled = it.second;
+  }
+  if (stalled == nullptr) return false;
+  Refuse(stalled, kRequestTimeout, "stalled");
+  return true;
+}
+
 void HttpServer::Receive(const ConnectionPtr& connection) {
   connection->socket.async_read_some(
       connection->reader.buffer.prepare(BytesToReceive(connection->reader)),
@@ -163,7 +251,8 @@
 
 // When the connection has been without progress for too long, as far as that is the caller's turn.
 absl::Time HttpServer::Deadline(const Connection& connection) const {
-  if (connection.exchange != 0 || connection.lingering) return absl::InfiniteFuture();
+  if (connection.exchange != 0 || connection.lingering || connection.awaits_room)
+    return absl::InfiniteFuture();
   if (!connection.writing && !connection.reader.parser && connection.reader.buffer.size() > 0)
     return connection.head_started + limits_.header_timeout;
   return connection.progress_at + limits_.idle_timeout;
@@ -205,13 +294,24 @@
   boost::system::error_code ignored;
   connection->socket.cancel(ignored);  // the read into the buffer that Clear frees
   Clear(connection->reader);
-  WriteResponse(connection, {status, "", {}, ""}, true);
+  connection->charge.Resize(0);
+  connection->awaits_room = false;
+  HttpResponse response = {status, "", {}, ""};
+  if (status == kServiceUnavailable) {
+    const double seconds = kMinRetryAfterSeconds * (1 + static_cast<double>(connection->id % 16) / 16);
+    response.headers.push_back({"Retry-After", absl::StrFormat("%.3f", seconds)});
+  }
+  WriteResponse(connection, std::move(response), true);
 }
 
 void HttpServer::Advance(const ConnectionPtr& connection) {
   const ReadOutcome outcome = serving::ReadRequest(connection->reader, limits_, host_required_);
   if (outcome.state == ReadState::kNeedsBytes) {
-    Receive(connection);
+    if (TakeRoom(*connection)) {
+      Receive(connection);
+    } else {
+      AwaitRoom(connection);
+    }
     return;
   }
   if (outcome.state == ReadState::kRefused) {
@@ -227,7 +327,13 @@
   connection->exchange = next_id_++;
   exchanges_[connection->exchange] = connection;
   WatchForDisconnect(connection);
-  on_request_(connection->exchange, std::move(connection->reader.request));
+  HttpRequest request = std::move(connection->reader.request);
+  connection->charge.Resize(connection->reader.head_memory + request.body.size());
+  request.held = std::make_shared<HeldCharge>(std::move(connection->charge));
+  connection->charge = HeldCharge(account_, HeldKind::kRequests);
+  connection->charge.Resize(connection->reader.buffer.capacity());
+  connection->body_room = 0;
+  on_request_(connection->exchange, std::move(request));
 }
 
 // Reports a caller that closes its connection. Bytes of a pipelined request stay in the socket until the
@@ -298,6 +404,7 @@
 void HttpServer::Linger(const ConnectionPtr& connection) {
   connection->lingering = true;
   Clear(connection->reader);
+  connection->charge.Resize(0);
   boost::system::error_code ignored;
   connection->socket.shutdown(tcp::socket::shutdown_send, ignored);
   connection->linger_timer = loop_.After(kLingerTime, [this, connection] {
@@ -349,6 +456,7 @@
   connection->linger_timer = 0;
   boost::system::error_code ignored;
   connection->socket.close(ignored);
+  connection->awaits_room = false;
   connections_.erase(connection->id);
   if (!accept_paused_ || connections_.size() > max_connections_) return;
   accept_paused_ = false;
--- a/src/serving/http_server.h
+++ b/src/serving/http_server.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -13,6 +14,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "oleander/serving.h"
 #include "serving/event_loop.h"
+#include "serving/held_bytes.h"
 
 namespace oleander::serving {
 
@@ -28,6 +30,9 @@
   // Returns false if the address cannot be bound.
   bool Listen(const std::string& address);
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
+  // From now on, requests are read only as far as the account has room for them. A request without room waits
+  // unread; bodies that have stalled give way to it, and if none has, it is refused as not run.
+  void UseHeldBytes(HeldBytes& account) { account_ = &account; }
   // From now on, at most `n` connections are open. A new one beyond that closes the one that has made no
   // progress for the longest time, if it is not busy; if all are, no more are accepted until one ends.
   void SetMaxConnections(int n) { max_connections_ = static_cast<std::size_t>(n); }
@@ -45,6 +50,7 @@
   // Connections on which a request is being received or processed, an answer is being sent, or the caller has
   // not closed yet after the last answer. A process that exits before there are none cuts answers off.
   int BusyConnections() const;
+  int Connections() const { return static_cast<int>(connections_.size()); }
 
  private:
   struct Connection;
@@ -53,6 +59,12 @@
   void AdmitConnection(asio::ip::tcp::socket socket);
   bool CloseLeastActive(std::uint64_t except);
   void StartRequest(const ConnectionPtr& connection);
+  bool TakeRoom(Connection& connection);
+  void AwaitRoom(const ConnectionPtr& connection);
+  void ScheduleRoomCheck();
+  void CheckRoom();
+  void GiveRoomToWaiting();
+  bool RefuseStalled();
   void Receive(const ConnectionPtr& connection);
   void Advance(const ConnectionPtr& connection);
   void WatchForDisconnect(const ConnectionPtr& connection);
@@ -74,6 +86,9 @@
   std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
   bool accept_paused_ = false;  // all connections are busy
   TimerId timeout_check_ = 0;
+  HeldBytes* account_ = nullptr;
+  std::deque<ConnectionPtr> awaiting_room_;  // oldest first; also connections that have ended meanwhile
+  TimerId room_check_ = 0;
   asio::ip::tcp::acceptor acceptor_;
   std::uint64_t next_id_ = 1;
   absl::flat_hash_map<std::uint64_t, ConnectionPtr> connections_;
--- a/src/serving/request_reader.cc
+++ b/src/serving/request_reader.cc
@@ -13,6 +13,11 @@
 
 constexpr std::size_t kReceiveBytes = 4 << 10;       // for a head, and for short bodies
 constexpr std::size_t kReceiveBodyBytes = 32 << 10;  //
+constexpr std::size_t kFirstBodyRoom = 64 << 10;     // of a body in chunks; doubled as it grows
+
+// Of one field besides its text: two strings with their allocations, here and in the message to the upstream.
+constexpr std::size_t kFieldMemory = 200;
+constexpr std::size_t kFieldCopies = 3;  // of the text of a field
 
 constexpr int kBadRequest = 400;
 constexpr int kContentTooLarge = 413;
@@ -59,6 +64,7 @@
   reader.request.target = std::string(message.target());
   for (const http::fields::value_type& it : message)
     reader.request.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+  reader.head_memory = MemoryOf(reader.request.headers);
   return {};
 }
 
@@ -80,6 +86,7 @@
   if (reader.parser->is_done()) {
     reader.request.body = std::move(reader.parser->get().body());
     reader.parser.reset();
+    if (reader.buffer.size() == 0 && reader.buffer.capacity() > kReceiveBytes) reader.buffer.shrink_to_fit();
     return {ReadState::kComplete};
   }
   // A chunk header or trailer that does not fit in the buffer.
@@ -91,6 +98,35 @@
                   reader.buffer.max_size() - reader.buffer.size());
 }
 
+std::size_t BodyRoomNeeded(const RequestReader& reader, const CallerLimits& limits) {
+  if (!reader.parser) return 0;
+  if (!reader.parser->chunked()) return static_cast<std::size_t>(reader.parser->content_length().value_or(0));
+  std::size_t room = kFirstBodyRoom;
+  while (room < BodyReceived(reader) + kReceiveBodyBytes) room *= 2;
+  return std::min(room, static_cast<std::size_t>(limits.max_body_bytes) + kReceiveBodyBytes);
+}
+
+void ReserveBody(RequestReader& reader, std::size_t room) {
+  if (reader.parser && reader.parser->chunked() && room > kFirstBodyRoom)
+    reader.parser->get().body().reserve(room);
+}
+
+std::size_t BodyReceived(const RequestReader& reader) {
+  return reader.parser ? reader.parser->get().body().size() : 0;
+}
+
+std::size_t MemoryOf(const Headers& headers) {
+  std::size_t bytes = 0;
+  for (const HeaderField& it : headers)
+    bytes += kFieldMemory + kFieldCopies * (it.name.size() + it.value.size());
+  return bytes;
+}
+
+std::size_t HeadAndBufferMemory(const RequestReader& reader) {
+  const std::size_t buffer = reader.buffer.size() + BytesToReceive(reader);
+  return std::max(reader.buffer.capacity(), buffer) + (reader.parser ? reader.head_memory : 0);
+}
+
 void Clear(RequestReader& reader) {
   reader.parser.reset();
   reader.request = {};
--- a/src/serving/request_reader.h
+++ b/src/serving/request_reader.h
@@ -17,8 +17,9 @@
   boost::beast::flat_buffer buffer{kMaxUnparsedBytes};  // received bytes that are not part of a request yet
   // The request in progress, once its head is complete.
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
-  HttpRequest request;     // without the body until it is complete; without fields of a trailer
-  bool keep_alive = true;  // the caller expects another answer on the connection
+  HttpRequest request;          // without the body until it is complete; without fields of a trailer
+  bool keep_alive = true;       // the caller expects another answer on the connection
+  std::size_t head_memory = 0;  // of the request in progress, by MemoryOf
 };
 enum class ReadState { kNeedsBytes, kComplete, kRefused };
 struct ReadOutcome {
@@ -30,6 +31,18 @@
 ReadOutcome ReadRequest(RequestReader& reader, const CallerLimits& limits, bool host_required);
 // How many bytes should be received into the buffer next.
 std::size_t BytesToReceive(const RequestReader& reader);
+// Room for the body of the request in progress that must be there before the next read: its announced length,
+// or for a body in chunks a size that grows in steps. 0: none.
+std::size_t BodyRoomNeeded(const RequestReader& reader, const CallerLimits& limits);
+// Allocates the room of a body in chunks, so that it is not copied to grow.
+void ReserveBody(RequestReader& reader, std::size_t room);
+// Bytes of the body that have been received.
+std::size_t BodyReceived(const RequestReader& reader);
+// Estimate of the memory that fields take, with the copies that are made to pass them on. Short fields take
+// many times their length.
+std::size_t MemoryOf(const Headers& headers);
+// Bytes that the reader holds or will hold after the next read, besides the body.
+std::size_t HeadAndBufferMemory(const RequestReader& reader);
 // Frees what has been received.
 void Clear(RequestReader& reader);
 // True if a part of a request has been received.
