Bound trailers and chunk extensions like heads

Callers saw: a trailer, or the extensions of a chunk, could have 64 KB whatever the configured limit of heads, and the limit that held depended on how the bytes were cut. Cause: only the size of the unparsed buffer bounded them. Change: the parser gets at most as many bytes at a time as a head may have; a chunk header or trailer that does not fit is refused with 431.

--- a/fuzz/http_requests.h
+++ b/fuzz/http_requests.h
@@ -23,9 +23,10 @@
 };
 
 // `next_size` returns the size of the next piece, at least 1.
-inline FoundRequests FindRequests(std::string_view bytes, const std::function<std::size_t()>& next_size) {
+inline FoundRequests FindRequests(std::string_view bytes, const std::function<std::size_t()>& next_size,
+                                  std::size_t max_header_bytes = 4096) {
   CallerLimits limits;
-  limits.max_header_bytes = 4096;
+  limits.max_header_bytes = static_cast<std::int64_t>(max_header_bytes);
   limits.max_body_bytes = 10000;
   RequestReader reader;
   FoundRequests found;
--- a/src/serving/request_reader.cc
+++ b/src/serving/request_reader.cc
@@ -13,6 +13,7 @@
 
 constexpr std::size_t kReceiveBytes = 4 << 10;       // for a head, and for short bodies
 constexpr std::size_t kReceiveBodyBytes = 32 << 10;  //
+constexpr std::size_t kMinFramingWindow = 4 << 10;   // holds any chunk header without extensions
 constexpr std::size_t kFirstBodyRoom = 64 << 10;     // of a body in chunks; doubled as it grows
 
 // Of one field besides its text: two strings with their allocations, here and in the message to the upstream.
@@ -39,6 +40,14 @@
   return used;
 }
 
+// The most bytes of framing that a body in chunks may have in one place: a chunk header with its extensions,
+// or the last one with the trailer. Giving the parser no more than this at a time makes what it accepts
+// independent of how the bytes are cut.
+std::size_t FramingWindow(const CallerLimits& limits) {
+  return std::clamp(static_cast<std::size_t>(std::max<std::int64_t>(0, limits.max_header_bytes)),
+                    kMinFramingWindow, kMaxUnparsedBytes - 1);
+}
+
 // Starts a request if the buffer has a complete head.
 ReadOutcome ReadHead(RequestReader& reader, const CallerLimits& limits, bool host_required) {
   const std::string_view bytes = BytesOf(reader);
@@ -75,10 +84,13 @@
     const ReadOutcome head = ReadHead(reader, limits, host_required);
     if (head.state == ReadState::kRefused || !reader.parser) return head;
   }
+  const std::size_t window = FramingWindow(limits);
   while (!reader.parser->is_done() && reader.buffer.size() > 0) {
     if (reader.parser->chunked() && MayBeCutLastChunk(BytesOf(reader))) break;
+    const std::size_t n =
+        reader.parser->chunked() ? std::min(window, reader.buffer.size()) : reader.buffer.size();
     boost::system::error_code ec;
-    const std::size_t used = Put(reader, reader.buffer.size(), ec);
+    const std::size_t used = Put(reader, n, ec);
     if (ec == http::error::body_limit) return Refuse(kContentTooLarge);
     if (ec) return Refuse(kBadRequest);
     if (used == 0) break;
@@ -89,8 +101,9 @@
     if (reader.buffer.size() == 0 && reader.buffer.capacity() > kReceiveBytes) reader.buffer.shrink_to_fit();
     return {ReadState::kComplete};
   }
-  // A chunk header or trailer that does not fit in the buffer.
-  return reader.buffer.size() >= reader.buffer.max_size() ? Refuse(kHeaderFieldsTooLarge) : ReadOutcome{};
+  // A chunk header or a trailer that is longer than heads may be.
+  return reader.parser->chunked() && reader.buffer.size() >= window ? Refuse(kHeaderFieldsTooLarge)
+                                                                    : ReadOutcome{};
 }
 
 std::size_t BytesToReceive(const RequestReader& reader) {
--- a/tests/caller_limits_test.cc
+++ b/tests/caller_limits_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "fuzz/http_requests.h"
 #include "serving/event_loop.h"
 #include "serving/http_server.h"
 #include "tests/raw_server.h"
@@ -165,5 +166,32 @@
   EXPECT_EQ(answered, 8);
 }
 
+// Guards against trailers and chunk extensions that never end: they may have as many bytes as a head, however
+// the bytes are cut.
+TEST(RequestReaderTest, TrailersAndChunkExtensionsAreBoundedLikeHeads) {
+  constexpr std::size_t kMaxHeaderBytes = 8000;
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const auto trailer = [](std::size_t size) {
+    std::string text = "0\r\n";
+    while (text.size() + 8 <= size) text += "a: b\r\n";
+    return text + "\r\n";
+  };
+  const auto extension = [](std::size_t size) {
+    return "3;x=" + std::string(size - 6, 'y') + "\r\nabc\r\n0\r\n\r\n";
+  };
+  const std::vector<std::pair<std::string, bool>> cases = {
+      {trailer(7990), true},   {trailer(8100), false},   {trailer(20000), false},
+      {extension(7990), true}, {extension(8100), false}, {extension(20000), false},
+  };
+  for (const std::pair<std::string, bool>& it : cases) {
+    for (const std::size_t piece : {1, 7, 1000, 100000}) {
+      const FoundRequests found = FindRequests(
+          head + it.first, [piece] { return piece; }, kMaxHeaderBytes);
+      EXPECT_EQ(found.requests.size(), it.second ? 1u : 0u) << it.first.size() << " " << piece;
+      EXPECT_EQ(found.refused, it.second ? 0 : 431) << it.first.size() << " " << piece;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace oleander::serving
