Hold the body of a request once for all its attempts

Cause: each attempt and each hedge copied the body for its connection. Change: attempts share one immutable body, which is freed when the request has its answer.

--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -283,7 +283,7 @@
   std::string method;                                 //
   std::string target;                                 //
   Headers headers;                                    // in addition to those that the call sets itself
-  std::string body;                                   //
+  std::shared_ptr<const std::string> body;            // shared by the attempts of a request; null: none
   std::optional<absl::Duration> deadline;             // remaining time of the caller, sent to the upstream
   std::optional<std::int64_t> resume_after;           // id of the last event already received
   absl::Duration timeout = absl::InfiniteDuration();  // for the whole call
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -609,7 +609,7 @@
   call.method = "POST";
   call.target = item.spec.target;
   call.headers = item.spec.headers;
-  call.body = item.spec.body;
+  call.body = std::make_shared<const std::string>(item.spec.body);
   if (item.events > 0) call.resume_after = item.last_event;
   call.silence_timeout = settings_.silence_limit;
   call.fresh_connection = std::exchange(item.reconnect, false);
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -32,7 +32,8 @@
 
 struct Frontend::Exchange {
   FrontendRequestId id = 0;
-  CallerRequest request;
+  CallerRequest request;                    // without the body
+  std::shared_ptr<const std::string> body;  // shared with the attempts
   Route route;
   std::string service;
   Responder respond;
@@ -73,6 +74,7 @@
   Exchange& exchange = *owned;
   exchanges_[id] = std::move(owned);
   exchange.id = id;
+  exchange.body = std::make_shared<const std::string>(std::move(request.http.body));
   exchange.request = std::move(request);
   exchange.route = route;
   exchange.respond = std::move(respond);
@@ -179,7 +181,7 @@
   call.method = exchange.request.http.method;
   call.target = exchange.request.http.target;
   call.headers = exchange.request.http.headers;
-  call.body = exchange.request.http.body;
+  call.body = exchange.body;
   call.deadline = exchange.expires_at - now;
   call.timeout = exchange.expires_at - now;
   call.fresh_connection = exchange.route.kind != RouteKind::kIdempotent;
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -50,7 +50,8 @@
   std::string address;
   beast::flat_buffer buffer;
   std::optional<http::response_parser<http::string_body>> parser;
-  http::request<http::string_body> outbound;
+  http::request<http::span_body<const char>> outbound;
+  std::shared_ptr<const std::string> outbound_body;  // that `outbound` refers to, until it is written
   bool keep_allowed = true;
   absl::Time idle_until;
   absl::Time last_received = absl::InfinitePast();  // last byte from the peer, over all calls
@@ -124,7 +125,7 @@
       call.timeout == absl::InfiniteDuration() ? absl::InfiniteFuture() : connection->started + call.timeout;
   ResetParser(*connection);
 
-  http::request<http::string_body>& outbound = connection->outbound;
+  http::request<http::span_body<const char>>& outbound = connection->outbound;
   outbound = {};
   outbound.version(11);
   outbound.method_string(call.request.method);
@@ -132,7 +133,9 @@
   for (const HeaderField& it : call.request.headers) {
     if (!IsConnectionHeader(it.name)) outbound.insert(it.name, it.value);
   }
-  outbound.body() = std::move(call.request.body);
+  connection->outbound_body =
+      call.body ? std::move(call.body) : std::make_shared<const std::string>(std::move(call.request.body));
+  outbound.body() = {connection->outbound_body->data(), connection->outbound_body->size()};
   if (!outbound.body().empty() || (call.request.method != "GET" && call.request.method != "HEAD")) {
     outbound.content_length(outbound.body().size());
   }
@@ -236,7 +239,8 @@
                     [connection, id](boost::system::error_code ec, std::size_t) {
                       if (connection->call != id) return;
                       connection->write_done = !ec;  // a write error also makes the read fail
-                      connection->outbound.body().clear();
+                      connection->outbound.body() = {};
+                      connection->outbound_body.reset();
                     });
   Receive(connection);
 }
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -34,6 +34,7 @@
 struct HttpCall {
   std::string address;                                        // "ip:port"
   HttpRequest request;                                        //
+  std::shared_ptr<const std::string> body;                    // goes before that of `request`, if set
   absl::Duration timeout = absl::InfiniteDuration();          // for the whole call
   absl::Duration silence_timeout = absl::InfiniteDuration();  // longest time without a received byte
   bool fresh_connection = false;                              // do not reuse an idle one
--- a/src/serving/scoring.cc
+++ b/src/serving/scoring.cc
@@ -140,7 +140,7 @@
   http.request_id = call.request.id;
   http.method = "POST";
   http.target = call.request.target;
-  http.body = call.request.body;
+  http.body = std::make_shared<const std::string>(call.request.body);
   http.deadline = timeout;
   http.timeout = timeout;
   http.max_body_bytes = kMaxAnswerBytes;
