Count answers as held until callers have them, and read them only as far as there is room

Callers saw: 60 callers that read no answers of 8 MB took a host of 64 MB to 507 MB, 60 whole bodies of 4 MB and their answers to 183 MB, and callers behind them lost theirs with the process. Cause: an answer was counted only while it arrived. Once handed over it was held without a limit until the caller had read it, and an idle connection kept the memory of its last answer (assigning an empty string keeps the buffer). Change: an answer is on the account from the read at the upstream to its last byte sent. Without room it is not read on; callers that have not read on for 0.5 s give way; after 0.6 s the largest answer in progress ends with kNoRoom: its caller gets 502, and its upstream is not avoided for it. Reads of the store that are passed on to callers wait for room, too.

ServingHttpTest.TheLargestAnswerIsAbortedAtTheLimitOfAllAnswers expects kNoRoom where it expected kTooLarge: the limit of all answers says nothing of the upstream, so it has an end of its own now. It checks the same answers at the same limit.

--- a/include/oleander/log_events.h
+++ b/include/oleander/log_events.h
@@ -94,6 +94,7 @@
   kCallerLeft = 903,
   kRequestMalformed = 906,
   kRequestUnread = 907,
+  kAnswerUnread = 908,
 };
 std::string_view NameOf(LogEvent event);
 
--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -87,6 +87,8 @@
   std::string reason;  // empty: the standard phrase of the status
   Headers headers;     //
   std::string body;    //
+  // What the message takes on the account of held bytes, as long as a copy of this exists.
+  std::shared_ptr<void> held = nullptr;
 };
 using Responder = std::function<void(HttpResponse)>;
 
@@ -126,11 +128,12 @@
   std::vector<RowKey> removals;          //
 };
 struct RowRange {
-  std::string table;      //
-  std::string partition;  //
-  std::string from;       // first key, inclusive; empty: from the start
-  std::string to;         // end key, exclusive; empty: to the end
-  int limit = 0;          // rows; 0: as many as fit in one answer
+  std::string table;        //
+  std::string partition;    //
+  std::string from;         // first key, inclusive; empty: from the start
+  std::string to;           // end key, exclusive; empty: to the end
+  int limit = 0;            // rows; 0: as many as fit in one answer
+  bool for_caller = false;  // the answer is passed on, so that it waits for room on the account of held bytes
 };
 struct StoreReply {
   StoreOutcome outcome = StoreOutcome::kUnknown;  //
@@ -263,6 +266,8 @@
   std::optional<double>
       request_limit;     // requests/s that the upstream accepts from all hosts; nullopt: no limit
   bool leaving = false;  // the upstream states that it is about to leave
+  // What the answer takes on the account of held bytes, as long as a copy of this exists.
+  std::shared_ptr<void> held = nullptr;
 };
 enum class CallEnd {
   kComplete,  // the answer was received completely
@@ -270,6 +275,7 @@
   kBroken,    // the connection closed early or the answer was malformed; the request may have run
   kTimedOut,  // the request may have run
   kTooLarge,  // the answer exceeded a size limit, so the connection was closed; the request may have run
+  kNoRoom,    // this host had no room for the answer, so the connection was closed; the request may have run
 };
 std::string_view NameOf(CallEnd end);
 
--- a/src/hosts/log_events.cc
+++ b/src/hosts/log_events.cc
@@ -24,7 +24,7 @@
   LogEvent event;
   std::string_view name;
 };
-constexpr std::array<EventName, 84> kEventNames = {{
+constexpr std::array<EventName, 85> kEventNames = {{
     {LogEvent::kHostStarted, "host_started"},
     {LogEvent::kHostReady, "host_ready"},
     {LogEvent::kHostDraining, "host_draining"},
@@ -109,6 +109,7 @@
     {LogEvent::kCallerLeft, "caller_left"},
     {LogEvent::kRequestMalformed, "request_malformed"},
     {LogEvent::kRequestUnread, "request_unread"},
+    {LogEvent::kAnswerUnread, "answer_unread"},
 }};
 
 spdlog::level::level_enum SpdlogLevel(LogLevel level) {
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -668,6 +668,7 @@
   Job& job = *FindJob(id);
   const absl::Time now = loop_.Now();
   item->head = head;
+  item->head.held.reset();  // events are taken from the answer as they arrive
   item->head_at = now;
   UpstreamState* const upstream = directory_.Find(item->upstream);
   if (!IsAnswerTo(head, item->spec.id)) {
@@ -794,10 +795,10 @@
   } else {
     if (upstream != nullptr && end == CallEnd::kTooLarge) {
       ObserveNoAnswer(*upstream, end, now);
-    } else if (upstream != nullptr) {
+    } else if (upstream != nullptr && end != CallEnd::kNoRoom) {
       ObserveFailure(*upstream, now);
     }
-    Requeue(job, *item, absl::ZeroDuration(), NameOf(end));
+    Requeue(job, *item, end == CallEnd::kNoRoom ? kUnexpectedPause : absl::ZeroDuration(), NameOf(end));
     item->reconnect = end == CallEnd::kTimedOut;
   }
   Dispatch();
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -309,8 +309,8 @@
 }
 
 void BatchService::ReadOnce(const std::shared_ptr<ReadOp>& read_op) {
-  const RowRange range = {std::string(kBatchTable), read_op->job, ResultKey(read_op->after),
-                          std::string(kAllKeysEnd), 0};
+  const RowRange range = {
+      std::string(kBatchTable), read_op->job, ResultKey(read_op->after), std::string(kAllKeysEnd), 0, true};
   store_.Get(range, [this, read_op](const StoreReply& reply) {
     UpdateStoreClock(reply);
     if (reply.outcome != StoreOutcome::kOk) {
@@ -383,7 +383,7 @@
     done(BatchOutcome::kNotFound, "");
     return;
   }
-  FetchRange({std::string(kBatchTable), job, SubmissionKey(), std::string(kSubmissionEnd), 0}, {},
+  FetchRange({std::string(kBatchTable), job, SubmissionKey(), std::string(kSubmissionEnd), 0, true}, {},
              [this, job, item, done](StoreOutcome outcome, std::vector<Row> rows) {
                if (outcome != StoreOutcome::kOk) {
                  done(BatchOutcome::kStoreUnreachable, "");
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -259,7 +259,8 @@
     }
     ++exchange.may_have_run;
     if (upstream != nullptr) ObserveFailure(*upstream, now);
-    exchange.last_failure = HttpResponse{head.status, head.reason, head.headers, std::move(attempt.body)};
+    exchange.last_failure =
+        HttpResponse{head.status, head.reason, head.headers, std::move(attempt.body), head.held};
     RetryOrFail(exchange, ErrorKind::kUpstreamFailed);
     return;
   }
@@ -277,11 +278,16 @@
     RetryOrFail(exchange, ErrorKind::kUpstreamRefused);
     return;
   }
-  if (upstream != nullptr) ObserveNoAnswer(*upstream, end, now);
+  if (upstream != nullptr && end != CallEnd::kNoRoom) ObserveNoAnswer(*upstream, end, now);
   if (end != CallEnd::kNotSent) {
     ++exchange.may_have_run;
     RecordBegin(exchange, attempt.started);
   }
+  if (end == CallEnd::kNoRoom) {
+    // Another attempt would find no room either, so that a caller gets its answer sooner elsewhere.
+    if (exchange.attempts.empty()) Refuse(exchange, ErrorKind::kUpstreamFailed);
+    return;
+  }
   RetryOrFail(exchange, end == CallEnd::kTimedOut ? ErrorKind::kUpstreamTimeout : ErrorKind::kUpstreamFailed);
 }
 
@@ -383,7 +389,8 @@
   CountLatency(GlobalMetrics(),
                exchange.route.kind == RouteKind::kIdempotent ? LatencyKind::kLookup : LatencyKind::kReceipt,
                loop_.Now() - exchange.started);
-  Close(exchange, {attempt.head.status, attempt.head.reason, attempt.head.headers, std::move(attempt.body)});
+  Close(exchange, {attempt.head.status, attempt.head.reason, attempt.head.headers, std::move(attempt.body),
+                   attempt.head.held});
 }
 
 void Frontend::Refuse(Exchange& exchange, ErrorKind kind) {
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -15,6 +15,7 @@
 #include "oleander/metrics.h"
 #include "serving/http_address.h"
 #include "serving/http_framing.h"
+#include "serving/request_reader.h"
 #include "serving/text.h"
 
 namespace oleander::serving {
@@ -30,6 +31,8 @@
 constexpr int kSwitchingProtocols = 101;     // status code; this client never requests an upgrade
 // An idle connection is dropped this long before the idle timeout that the peer states.
 constexpr absl::Duration kKeepAliveMargin = absl::Milliseconds(500);
+constexpr absl::Duration kMaxRoomWait = absl::Milliseconds(600);  // then the largest response is aborted
+constexpr absl::Duration kRoomCheckInterval = absl::Milliseconds(20);
 
 // Returns the timeout parameter of a Keep-Alive header, or `fallback` if there is none.
 absl::Duration ParseKeepAliveTimeout(std::string_view keep_alive, absl::Duration fallback) {
@@ -71,6 +74,11 @@
   bool over_limit = false;                  // more than `max_body_bytes`, or than kMaxUnparsedBytes
   std::size_t received_bytes = 0;           // of the response, framing included
   std::size_t body_bytes = 0;               // of the response, decoded
+  std::size_t head_memory = 0;              // of the response
+  std::shared_ptr<HeldCharge> charge;       // for the response; shared with its receivers
+  bool needs_no_room = false;
+  bool awaits_room = false;
+  absl::Time room_wanted_at;
   absl::Duration connect_timeout;
   absl::Duration silence_timeout;
   absl::Time started;
@@ -117,6 +125,10 @@
   connection->over_limit = false;
   connection->head_fault = HeadFault::kNone;
   connection->body_bytes = 0;
+  connection->head_memory = 0;
+  connection->charge = std::make_shared<HeldCharge>(account_, HeldKind::kAnswers);
+  connection->needs_no_room = call.needs_no_room;
+  connection->awaits_room = false;
   connection->connect_timeout = limits_.connect_timeout;
   connection->silence_timeout = call.silence_timeout;
   connection->started = loop_.Now();
@@ -166,7 +178,8 @@
   if (it == calls_.end()) return;
   const ConnectionPtr connection = it->second;
   calls_.erase(it);
-  bytes_in_progress_ -= connection->body_bytes;
+  connection->charge.reset();
+  connection->awaits_room = false;
   loop_.Cancel(connection->timer);
   connection->call = 0;
   connection->handlers = {};
@@ -248,6 +261,10 @@
 // Reads from the socket and feeds Beast's parser. Beast's own read function does not return while the next
 // chunk header is incomplete, so events would be delivered only at the end of the response.
 void HttpClient::Receive(const ConnectionPtr& connection) {
+  if (!TakeRoom(*connection)) {
+    AwaitRoom(connection);
+    return;
+  }
   const CallId id = connection->call;
   connection->socket.async_read_some(connection->buffer.prepare(kReadBytes),
                                      [this, connection, id](boost::system::error_code ec, std::size_t n) {
@@ -259,6 +276,52 @@
                                      });
 }
 
+// Returns false if the account has no room for what is received next.
+bool HttpClient::TakeRoom(Connection& connection) {
+  const std::size_t buffer = std::max(connection.buffer.capacity(), connection.buffer.size() + kReadBytes);
+  const std::size_t memory = connection.head_memory + connection.body_bytes + buffer;
+  if (!connection.needs_no_room) return connection.charge->TryResize(memory);
+  connection.charge->Resize(memory);
+  return true;
+}
+
+void HttpClient::AwaitRoom(const ConnectionPtr& connection) {
+  connection->awaits_room = true;
+  connection->room_wanted_at = loop_.Now();
+  awaiting_room_.push_back(connection);
+  ScheduleRoomCheck();
+}
+
+void HttpClient::ScheduleRoomCheck() {
+  if (room_check_ != 0 || awaiting_room_.empty()) return;
+  room_check_ = loop_.After(kRoomCheckInterval, [this] {
+    room_check_ = 0;
+    CheckRoom();
+    ScheduleRoomCheck();
+  });
+}
+
+void HttpClient::CheckRoom() {
+  GiveRoomToWaiting();
+  while (!awaiting_room_.empty() && on_no_room && on_no_room()) GiveRoomToWaiting();
+  while (!awaiting_room_.empty() && loop_.Now() - awaiting_room_.front()->room_wanted_at >= kMaxRoomWait) {
+    AbortLargest();
+    GiveRoomToWaiting();
+  }
+}
+
+// Reads on where there is room now, oldest first.
+void HttpClient::GiveRoomToWaiting() {
+  std::erase_if(awaiting_room_, [this](const ConnectionPtr& it) {
+    if (!it->awaits_room) return true;
+    if (!TakeRoom(*it)) return false;
+    it->awaits_room = false;
+    it->last_activity = loop_.Now();  // the silence was this host's
+    Receive(it);
+    return true;
+  });
+}
+
 // Keeps the head of the response apart from the fields of a trailer, which the parser adds to the same
 // message.
 void HttpClient::TakeHead(Connection& connection) {
@@ -266,6 +329,8 @@
   connection.head = {static_cast<int>(message.result_int()), std::string(message.reason()), {}, ""};
   for (const http::fields::value_type& it : message)
     connection.head.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+  connection.head_memory = MemoryOf(connection.head.headers);
+  connection.head.held = connection.charge;
 }
 
 // Returns false if the connection failed or the received bytes are not an HTTP response.
@@ -309,22 +374,22 @@
   return true;
 }
 
-// Adds `body_bytes` of the last read to the totals. Returns false if the response exceeds its own limits.
+// Adds `body_bytes` of the last read. Returns false if the response exceeds its limits.
 bool HttpClient::CheckSizeLimits(const ConnectionPtr& connection, std::size_t body_bytes) {
   connection->body_bytes += body_bytes;
-  bytes_in_progress_ += body_bytes;
   const std::size_t framing =
       connection->received_bytes - std::min(connection->received_bytes, connection->body_bytes);
   return connection->body_bytes <= connection->max_body_bytes &&
          framing <= limits_.max_framing_bytes + connection->body_bytes;
 }
 
+// Ends the call with the largest response, so that the others have room. Call it while one waits for room.
 void HttpClient::AbortLargest() {
-  ConnectionPtr largest;
+  ConnectionPtr largest = awaiting_room_.front();
   for (const std::pair<const CallId, ConnectionPtr>& it : calls_) {
-    if (largest == nullptr || it.second->body_bytes > largest->body_bytes) largest = it.second;
+    if (!it.second->needs_no_room && it.second->body_bytes > largest->body_bytes) largest = it.second;
   }
-  if (largest != nullptr) Finish(largest, CallEnd::kTooLarge);
+  Finish(largest, CallEnd::kNoRoom);
 }
 
 void HttpClient::OnReceived(const ConnectionPtr& connection, bool failed) {
@@ -336,10 +401,6 @@
     Finish(connection, CallEnd::kTooLarge);
     return;
   }
-  if (bytes_in_progress_ > limits_.max_bytes_in_progress) {
-    AbortLargest();
-    if (connection->call != id) return;
-  }
   if (!failed && parser.is_header_done() && !connection->head_reported) {
     connection->head_reported = true;
     const HttpResponse head = std::move(connection->head);
@@ -372,13 +433,16 @@
 
 void HttpClient::Finish(const ConnectionPtr& connection, CallEnd end) {
   calls_.erase(connection->call);
-  bytes_in_progress_ -= connection->body_bytes;
+  connection->charge->Resize(connection->head_memory + connection->body_bytes);
+  connection->charge.reset();
+  connection->awaits_room = false;
   connection->body_bytes = 0;
-  if (end == CallEnd::kTooLarge) {
-    ++counts_.too_large;
+  if (end == CallEnd::kTooLarge || end == CallEnd::kNoRoom) {
+    ++(end == CallEnd::kTooLarge ? counts_.too_large : counts_.no_room);
     AddCounter(GlobalMetrics(), "upstream_answers_refused", NameOf(end));
     LogEventLine(LogLevel::kWarning, LogEvent::kAnswerTooLarge,
                  {{"address", connection->address},
+                  {"reason", NameOf(end)},
                   {"received", connection->received_bytes},
                   {"ms", absl::ToInt64Milliseconds(loop_.Now() - connection->started)}});
   }
@@ -450,6 +514,7 @@
 void HttpClient::KeepIdle(const ConnectionPtr& connection) {
   std::deque<ConnectionPtr>& idle = idle_[connection->address];
   connection->parser.reset();
+  if (connection->buffer.capacity() > kReadBytes) connection->buffer.shrink_to_fit();
   idle.push_back(connection);
   while (static_cast<int>(idle.size()) > limits_.max_idle_per_address) {
     idle.front()->Close();
@@ -479,7 +544,8 @@
   const absl::Time now = loop_.Now();
   const bool connect_timed_out =
       !connection->connected && now >= connection->started + connection->connect_timeout;
-  const bool silent = connection->connected && connection->silence_timeout != absl::InfiniteDuration() &&
+  const bool silent = connection->connected && !connection->awaits_room &&
+                      connection->silence_timeout != absl::InfiniteDuration() &&
                       now >= connection->last_activity + connection->silence_timeout;
   if (connect_timed_out || silent || now >= connection->deadline) {
     Finish(connection, connection->write_started ? CallEnd::kTimedOut : CallEnd::kNotSent);
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -13,6 +13,7 @@
 #include "absl/time/time.h"
 #include "oleander/serving.h"
 #include "serving/event_loop.h"
+#include "serving/held_bytes.h"
 
 namespace oleander::serving {
 
@@ -26,9 +27,6 @@
   // Limit for the bytes of one response outside its body (interim responses, head, chunk headers and
   // extensions, trailers): this value plus the bytes of the body.
   std::size_t max_framing_bytes = 64 << 10;
-  // Limit for the body bytes of all responses in progress; above it, the call with the largest response ends
-  // with kTooLarge.
-  std::size_t max_bytes_in_progress = 64 << 20;
 };
 
 struct HttpCall {
@@ -39,6 +37,8 @@
   absl::Duration silence_timeout = absl::InfiniteDuration();  // longest time without a received byte
   bool fresh_connection = false;                              // do not reuse an idle one
   std::size_t max_body_bytes = 32 << 20;  // of the response; a larger one ends the call with kTooLarge
+  // The host depends on the response, so that it is received without asking the account for room.
+  bool needs_no_room = false;
 };
 struct HttpCallHandlers {
   // Empty: all. If it returns false, the response belongs to another request: the call ends with kBroken,
@@ -53,11 +53,18 @@
   std::int64_t calls = 0;        // started
   std::int64_t connections = 0;  // opened
   std::int64_t too_large = 0;    // calls ended with kTooLarge
+  std::int64_t no_room = 0;      // calls ended with kNoRoom
 };
 
 class HttpClient {
  public:
   HttpClient(EventLoop& loop, HttpClientLimits limits);
+  // From now on, responses are read only as far as the account has room for them. One without room is not
+  // read on, which slows its upstream down; if that lasts, the call with the largest response ends with
+  // kNoRoom. HttpResponse::held of the head keeps the room of the whole response.
+  void UseHeldBytes(HeldBytes& account) { account_ = &account; }
+  // Called when a response has no room. Returns true if it has made some. May be empty.
+  std::function<bool()> on_no_room;
   ~HttpClient();
   CallId Start(HttpCall call, HttpCallHandlers handlers);
   // Like Start, but buffers the response: `done` gets the call's end and what has arrived; status 0: no head.
@@ -80,6 +87,11 @@
   static bool Parse(Connection& connection, boost::system::error_code received);
   void OnReceived(const ConnectionPtr& connection, bool failed);
   bool CheckSizeLimits(const ConnectionPtr& connection, std::size_t body_bytes);
+  bool TakeRoom(Connection& connection);
+  void AwaitRoom(const ConnectionPtr& connection);
+  void ScheduleRoomCheck();
+  void CheckRoom();
+  void GiveRoomToWaiting();
   void AbortLargest();
   void Finish(const ConnectionPtr& connection, CallEnd end);
   void CloseSuspects(const std::string& address, absl::Time silent_since);
@@ -92,7 +104,9 @@
   EventLoop& loop_;
   HttpClientLimits limits_;
   HttpClientCounts counts_;
-  std::size_t bytes_in_progress_ = 0;  // body bytes of all responses in progress
+  HeldBytes* account_ = nullptr;
+  std::deque<ConnectionPtr> awaiting_room_;  // oldest first; also connections whose call has ended meanwhile
+  TimerId room_check_ = 0;
   CallId next_id_ = 1;
   absl::flat_hash_map<CallId, ConnectionPtr> calls_;
   absl::flat_hash_map<std::string, std::deque<ConnectionPtr>> idle_;
--- a/src/serving/http_messages.cc
+++ b/src/serving/http_messages.cc
@@ -19,8 +19,8 @@
                                                             "history_gone"};
 constexpr std::array<std::string_view, 4> kRouteKinds = {"idempotent", "non_idempotent", "streaming",
                                                          "rollout"};
-constexpr std::array<std::string_view, 5> kCallEnds = {"complete", "not_sent", "broken", "timed_out",
-                                                       "too_large"};
+constexpr std::array<std::string_view, 6> kCallEnds = {"complete",  "not_sent",  "broken",
+                                                       "timed_out", "too_large", "no_room"};
 constexpr std::array<std::string_view, 4> kDutyOutcomes = {"accepted", "unavailable", "refused", "unknown"};
 constexpr std::array<std::string_view, 5> kOrderOutcomes = {"accepted", "already_holds", "busy_or_moved",
                                                             "refused", "unknown"};
--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -31,9 +31,9 @@
 constexpr std::size_t kProgressBytes = 16 << 10;
 // A body or an answer without progress for this long may lose its connection to a new one.
 constexpr absl::Duration kTransferStall = absl::Seconds(1);
-// A request without progress for this long gives its room to one that waits.
-constexpr absl::Duration kRequestStall = absl::Milliseconds(500);
-// Longer than kRequestStall, so that a request that waits outlasts those that have stalled before it came.
+// A body or an answer without progress for this long gives its room to one that waits.
+constexpr absl::Duration kRoomStall = absl::Milliseconds(500);
+// Longer than kRoomStall, so that a request that waits outlasts those that have stalled before it came.
 constexpr absl::Duration kMaxRoomWait = absl::Milliseconds(600);
 constexpr absl::Duration kRoomCheckInterval = absl::Milliseconds(20);
 // Retry-After of a request without room: these seconds and up to as many again, so that callers that were
@@ -64,6 +64,9 @@
   tcp::socket socket;
   RequestReader reader;
   http::response<http::string_body> outbound;
+  std::optional<http::response_serializer<http::string_body>> serializer;  // of `outbound`
+  std::shared_ptr<void> answer_held;  // room of `outbound`, until it is written
+  bool close_after_answer = false;
   ExchangeId exchange = 0;  // 0: no request is being processed
   bool writing = false;
   bool lingering = false;  // the last answer has been sent
@@ -220,7 +223,7 @@
     const Connection& candidate = *it.second;
     if (candidate.exchange != 0 || candidate.writing || candidate.lingering || candidate.awaits_room)
       continue;
-    if (!IsReading(candidate.reader) || loop_.Now() - candidate.progress_at < kRequestStall) continue;
+    if (!IsReading(candidate.reader) || loop_.Now() - candidate.progress_at < kRoomStall) continue;
     if (stalled == nullptr || candidate.progress_at < stalled->progress_at) stalled = it.second;
   }
   if (stalled == nullptr) return false;
@@ -280,7 +283,10 @@
     if (IsReading(it->reader) && !it->writing) {
       Refuse(it, kRequestTimeout, it->reader.parser ? "body_timeout" : "header_timeout");
     } else {
-      if (it->writing) AddCounter(GlobalMetrics(), "connections_closed", "answer_unread");
+      if (it->writing) {
+        AddCounter(GlobalMetrics(), "connections_closed", "answer_unread");
+        LogEventLine(LogLevel::kInfo, LogEvent::kAnswerUnread, {{"bytes", it->outbound.body().size()}});
+      }
       Close(it);
     }
   }
@@ -378,6 +384,12 @@
   for (const HeaderField& it : response.headers) {
     if (!IsConnectionHeader(it.name)) outbound.insert(it.name, it.value);
   }
+  connection->answer_held = std::move(response.held);
+  if (connection->answer_held == nullptr) {
+    HeldCharge charge(account_, HeldKind::kAnswers);
+    charge.Resize(response.body.size());
+    connection->answer_held = std::make_shared<HeldCharge>(std::move(charge));
+  }
   outbound.body() = std::move(response.body);
   outbound.keep_alive(!close);
   outbound.prepare_payload();
@@ -385,18 +397,52 @@
   connection->StartProgress(loop_.Now());
   boost::system::error_code ignored;  // cancels the wait of WatchForDisconnect
   connection->socket.cancel(ignored);
-  http::async_write(connection->socket, outbound,
-                    [this, connection, close](boost::system::error_code ec, std::size_t) {
-                      connection->writing = false;
-                      if (!connection->socket.is_open()) return;
-                      if (ec) {
-                        Close(connection);
-                      } else if (close || !acceptor_.is_open()) {
-                        Linger(connection);
-                      } else {
-                        StartRequest(connection);
-                      }
-                    });
+  connection->close_after_answer = close;
+  connection->serializer.emplace(outbound);
+  Write(connection);
+}
+
+// Writes in steps, so that a caller that reads slowly is told from one that does not read.
+void HttpServer::Write(const ConnectionPtr& connection) {
+  http::async_write_some(connection->socket, *connection->serializer,
+                         [this, connection](boost::system::error_code ec, std::size_t n) {
+                           if (!connection->socket.is_open()) return;
+                           connection->NoteProgress(n, loop_.Now());
+                           if (ec) {
+                             Close(connection);
+                           } else if (!connection->serializer->is_done()) {
+                             Write(connection);
+                           } else {
+                             OnWritten(connection);
+                           }
+                         });
+}
+
+void HttpServer::OnWritten(const ConnectionPtr& connection) {
+  connection->writing = false;
+  connection->serializer.reset();
+  std::string().swap(connection->outbound.body());  // an assignment would keep the memory
+  connection->answer_held.reset();
+  if (connection->close_after_answer || !acceptor_.is_open()) {
+    Linger(connection);
+  } else {
+    StartRequest(connection);
+  }
+}
+
+bool HttpServer::CloseStalledReader() {
+  ConnectionPtr stalled;
+  for (const std::pair<const std::uint64_t, ConnectionPtr>& it : connections_) {
+    const Connection& candidate = *it.second;
+    if (!candidate.writing || SizeOf(candidate.outbound.body().size()) == HeldSize::kSmall) continue;
+    if (loop_.Now() - candidate.progress_at < kRoomStall) continue;
+    if (stalled == nullptr || candidate.progress_at < stalled->progress_at) stalled = it.second;
+  }
+  if (stalled == nullptr) return false;
+  AddCounter(GlobalMetrics(), "connections_closed", "reader_stalled");
+  LogEventLine(LogLevel::kInfo, LogEvent::kAnswerUnread, {{"bytes", stalled->outbound.body().size()}});
+  Close(stalled);
+  return true;
 }
 
 // Ends a connection after its last answer. Closing it while it has unread bytes, such as the rest of a
@@ -457,6 +503,8 @@
   boost::system::error_code ignored;
   connection->socket.close(ignored);
   connection->awaits_room = false;
+  connection->charge.Resize(0);
+  connection->answer_held.reset();
   connections_.erase(connection->id);
   if (!accept_paused_ || connections_.size() > max_connections_) return;
   accept_paused_ = false;
--- a/src/serving/http_server.h
+++ b/src/serving/http_server.h
@@ -43,6 +43,9 @@
   void Respond(ExchangeId id, HttpResponse response);
   // Invokes `fn` once if the caller closes the connection before Respond is called.
   void OnCallerDisconnect(ExchangeId id, std::function<void()> fn);
+  // Closes the connection whose caller has not read on in its answer for the longest time, if that is half a
+  // second or more, so that another answer has room. Returns false if there is none.
+  bool CloseStalledReader();
   // From now on closes each connection after its next response; new connections are still accepted.
   void CloseAfterAnswers() { closing_ = true; }
   // Stops listening and closes connections that are not busy.
@@ -69,6 +72,8 @@
   void Advance(const ConnectionPtr& connection);
   void WatchForDisconnect(const ConnectionPtr& connection);
   void WriteResponse(const ConnectionPtr& connection, HttpResponse response, bool close);
+  void Write(const ConnectionPtr& connection);
+  void OnWritten(const ConnectionPtr& connection);
   void Linger(const ConnectionPtr& connection);
   void Discard(const ConnectionPtr& connection);
   static bool IsBusy(const Connection& connection);
--- a/src/serving/scoring.cc
+++ b/src/serving/scoring.cc
@@ -210,7 +210,7 @@
     if (upstream != nullptr) ObserveRefusal(*upstream, now);
   } else {
     attempt_outcome = ScoringAttemptOutcome::kNoAnswer;
-    if (upstream != nullptr) ObserveNoAnswer(*upstream, end, now);
+    if (upstream != nullptr && end != CallEnd::kNoRoom) ObserveNoAnswer(*upstream, end, now);
   }
   UpdateScoringLimit(limit_, attempt_outcome, took, now);
   if (verdict == AttemptVerdict::kAnswered && success) {
--- a/tests/caller_limits_test.cc
+++ b/tests/caller_limits_test.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/str_cat.h"
 #include "fuzz/http_requests.h"
 #include "serving/event_loop.h"
+#include "serving/http_client.h"
 #include "serving/http_server.h"
 #include "tests/raw_server.h"
 
@@ -166,6 +167,158 @@
   EXPECT_EQ(answered, 8);
 }
 
+HeldLimits RoomForOne(std::size_t bytes, HeldKind kind) {
+  HeldLimits limits;
+  limits.total = limits.shares[static_cast<std::size_t>(kind)] = bytes;
+  return limits;
+}
+
+constexpr std::size_t kLargeBody = 3 << 20;
+constexpr std::size_t kRoom = 4 << 20;  // for one large body, beside small ones
+
+// Guards against large bodies that fill the memory of a host. The second body waits unread until the first
+// one, which has stalled, gives way to it; a small request is served beside both.
+TEST_F(CallerLimitsTest, ABodyThatHasStalledGivesItsRoomToOneThatWaits) {
+  HeldBytes account(RoomForOne(kRoom, HeldKind::kRequests));
+  std::size_t received = 0;
+  std::size_t most_held = 0;
+  HttpServer* running = nullptr;
+  HttpServer server(loop, [&](ExchangeId id, const HttpRequest& request) {
+    received = std::max(received, request.body.size());
+    most_held = std::max(most_held, account.Held(HeldKind::kRequests));
+    running->Respond(id, {200, "", {}, ""});
+  });
+  running = &server;
+  server.UseHeldBytes(account);
+  ASSERT_TRUE(server.Listen("127.0.0.1:21895"));
+  const std::string head =
+      absl::StrCat("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ", kLargeBody, "\r\n\r\n");
+  std::string stalled_answer;
+  std::string small_answer;
+  std::string waiting_answer;
+  RunBeside([&] {
+    tcp::socket& stalled = Connect(21895);
+    WriteText(stalled, head + std::string(kLargeBody - 1, 'x'));
+    absl::SleepFor(absl::Milliseconds(100));
+    tcp::socket& waiting = Connect(21895);
+    std::thread sender([&] { WriteText(waiting, head + std::string(kLargeBody, 'y')); });
+    tcp::socket& small = Connect(21895);
+    WriteText(small, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello");
+    small_answer = ReadHead(small);
+    stalled_answer = ReadHead(stalled);
+    waiting_answer = ReadHead(waiting);
+    sender.join();
+  });
+  EXPECT_TRUE(small_answer.starts_with("HTTP/1.1 200")) << small_answer;
+  EXPECT_TRUE(stalled_answer.starts_with("HTTP/1.1 408")) << stalled_answer;
+  EXPECT_TRUE(waiting_answer.starts_with("HTTP/1.1 200")) << waiting_answer;
+  EXPECT_EQ(received, kLargeBody);
+  EXPECT_LE(most_held, kRoom);
+}
+
+// Guards against a wait without end: a body without room is refused as not run, with the time to return.
+TEST_F(CallerLimitsTest, ABodyWithoutRoomIsRefusedAsNotRun) {
+  HeldBytes account(RoomForOne(kRoom, HeldKind::kRequests));
+  HeldCharge other(&account, HeldKind::kRequests);
+  other.Resize(kLargeBody);
+  int handled = 0;
+  HttpServer server(loop, [&handled](ExchangeId, const HttpRequest&) { ++handled; });
+  server.UseHeldBytes(account);
+  ASSERT_TRUE(server.Listen("127.0.0.1:21896"));
+  std::string announced;
+  std::string chunked;
+  RunBeside([&] {
+    tcp::socket& first = Connect(21896);
+    WriteText(first, absl::StrCat("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ", kLargeBody, "\r\n\r\n"));
+    announced = ReadHead(first);
+    tcp::socket& second = Connect(21896);
+    WriteText(second, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n300000\r\n");
+    std::thread sender([&] { WriteText(second, std::string(kLargeBody, 'x')); });
+    chunked = ReadHead(second);
+    sender.join();
+  });
+  for (const std::string& it : {announced, chunked}) {
+    EXPECT_TRUE(it.starts_with("HTTP/1.1 503")) << it;
+    EXPECT_NE(it.find("Retry-After: 0."), std::string::npos) << it;
+  }
+  EXPECT_EQ(handled, 0);
+  EXPECT_EQ(account.Held(HeldKind::kRequests), kLargeBody);
+}
+
+// Guards against answers that nobody reads: they keep the room of one that waits. The caller that reads,
+// though slowly, keeps its connection.
+TEST_F(CallerLimitsTest, AnAnswerThatNobodyReadsGivesWay) {
+  constexpr std::size_t kAnswerBytes = 24 << 20;  // more than socket buffers hold
+  HttpServer* running = nullptr;
+  HttpServer server(loop, [&](ExchangeId id, const HttpRequest&) {
+    running->Respond(id, {200, "", {}, std::string(kAnswerBytes, 'a')});
+  });
+  running = &server;
+  HeldBytes account(RoomForOne(kRoom, HeldKind::kAnswers));
+  server.UseHeldBytes(account);
+  ASSERT_TRUE(server.Listen("127.0.0.1:21897"));
+  int closed = 0;
+  std::function<void()> make_room = [&] {
+    closed += server.CloseStalledReader() ? 1 : 0;
+    loop.After(absl::Milliseconds(20), make_room);
+  };
+  std::size_t read = 0;
+  RunBeside([&] {
+    tcp::socket& unread = Connect(21897);
+    WriteText(unread, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    tcp::socket& slow = Connect(21897);
+    WriteText(slow, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    asio::post(loop.Context(), make_room);
+    std::string part(1 << 20, 0);
+    boost::system::error_code ec;
+    while (!ec) {
+      absl::SleepFor(absl::Milliseconds(60));
+      read += asio::read(slow, asio::buffer(part), ec);
+    }
+  });
+  EXPECT_EQ(closed, 1);
+  EXPECT_GT(read, kAnswerBytes);
+  EXPECT_EQ(account.Held(HeldKind::kAnswers), 0u);
+}
+
+// Guards against answers that fill the memory of a host while their receivers hold others: without room an
+// answer is not read on, and goes on when there is some. If that lasts, its call ends.
+TEST_F(CallerLimitsTest, AnAnswerWaitsForRoom) {
+  RawServer upstream([](tcp::socket& socket) {
+    ReadHead(socket);
+    WriteText(socket, absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", kLargeBody, "\r\n\r\n",
+                                   std::string(kLargeBody, 'x')));
+  });
+  HeldBytes account(RoomForOne(kRoom, HeldKind::kAnswers));
+  HttpClient client(loop, {});
+  client.UseHeldBytes(account);
+  std::vector<HttpResponse> held;
+  std::vector<CallEnd> ends;
+  const std::function<void()> call = [&] {
+    HttpCall http;
+    http.address = upstream.Address();
+    http.request = {"GET", "/", {{"Host", "h"}}, ""};
+    client.StartBuffered(std::move(http), [&](CallEnd end, const HttpResponse& answer) {
+      ends.push_back(end);
+      held.push_back(answer);
+      if (ends.size() == 1) {
+        // The second answer waits for the room of the first one, which its receiver frees.
+        loop.After(absl::Milliseconds(200), [&] { held.clear(); });
+        call();
+      } else if (ends.size() == 2) {
+        call();  // the third waits in vain
+      } else {
+        loop.Stop();
+      }
+    });
+  };
+  call();
+  loop.Run();
+  EXPECT_EQ(ends, (std::vector<CallEnd>{CallEnd::kComplete, CallEnd::kComplete, CallEnd::kNoRoom}));
+  held.clear();
+  EXPECT_EQ(account.Held(HeldKind::kAnswers), 0u);
+}
+
 // Guards against trailers and chunk extensions that never end: they may have as many bytes as a head, however
 // the bytes are cut.
 TEST(RequestReaderTest, TrailersAndChunkExtensionsAreBoundedLikeHeads) {
--- a/tests/frontend_test.cc
+++ b/tests/frontend_test.cc
@@ -60,6 +60,36 @@
   EXPECT_LE(link.sent.begin()->second.call.deadline.value(), absl::Milliseconds(1500));
 }
 
+// Guards against a host that blames sound upstreams for its own lack of memory, and fills that memory again
+// with another attempt.
+TEST_F(FrontendTest, AnAnswerWithoutRoomIsNotHeldAgainstItsUpstream) {
+  ScriptedLink::Script without_room = ScriptedLink::Success();
+  without_room.end = CallEnd::kNoRoom;
+  ScriptAllUpstreams(without_room);
+  SendLookup();
+  loop.RunFor(absl::Milliseconds(50));
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].status, 502);  // the request has run
+  EXPECT_EQ(link.sent.size(), 1u);
+  for (const char* id : {"u1", "u2", "u3"}) {
+    EXPECT_EQ(directory.Find(id)->in_flight, 0);
+    EXPECT_LE(directory.Find(id)->avoid_until, loop.Now());
+  }
+}
+
+// Guards against bodies that are copied for each attempt.
+TEST_F(FrontendTest, AttemptsShareTheBody) {
+  ScriptedLink::Script lost = ScriptedLink::Success();
+  lost.end = CallEnd::kBroken;
+  lost.body.clear();
+  ScriptAllUpstreams(lost);
+  SendLookup();
+  loop.RunFor(absl::Milliseconds(200));
+  ASSERT_EQ(link.sent.size(), 2u);
+  EXPECT_EQ(*link.sent[1].call.body, "body");
+  EXPECT_EQ(link.sent[1].call.body, link.sent[2].call.body);
+}
+
 // Guards against a lookup that waits for its deadline when an answer is lost or an upstream stalls.
 TEST_F(FrontendTest, AStalledLookupIsHedgedWithinItsObjective) {
   ScriptedLink::Script stalled = ScriptedLink::Success();
--- a/tests/serving_http_test.cc
+++ b/tests/serving_http_test.cc
@@ -36,6 +36,7 @@
 
 struct ServingHttpTest : testing::Test {
   ServingHttpTest() {
+    client.UseHeldBytes(account);
     loop.After(kTestTimeout, [this] { loop.Stop(); });
   }
   std::shared_ptr<Result> Call(const std::string& address, std::string body = "",
@@ -83,11 +84,15 @@
     RunUntil([&complete, n] { return complete == n; });
   }
   EventLoop loop;
-  static HttpClientLimits Limits() {
-    HttpClientLimits limits;
-    limits.max_bytes_in_progress = kMaxBodyBytes + (kMaxBodyBytes >> 1);
+  static HttpClientLimits Limits() { return {}; }
+  // Room for one and a half answers of the largest size.
+  static HeldLimits RoomForAnswers() {
+    HeldLimits limits;
+    limits.total = (kMaxBodyBytes + (kMaxBodyBytes >> 1)) / 4 * 5;  // a fifth is for smaller ones
+    limits.shares[static_cast<std::size_t>(HeldKind::kAnswers)] = limits.total;
     return limits;
   }
+  HeldBytes account{RoomForAnswers()};
   HttpClient client{loop, Limits()};
   std::function<void()> on_piece;
 };
@@ -212,10 +217,10 @@
   start_second();
   Run();
   done = true;
-  EXPECT_EQ(first->end, CallEnd::kTooLarge);
+  EXPECT_EQ(first->end, CallEnd::kNoRoom);
   ASSERT_NE(second, nullptr);
   EXPECT_FALSE(second->end.has_value()) << "the smaller answer continues";
-  EXPECT_EQ(client.Counts().too_large, 1);
+  EXPECT_EQ(client.Counts().no_room, 1);
 }
 
 // Guards against treating an interim (1xx) response as the final one.
