--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -424,6 +424,7 @@
   kInvalid,           // malformed submission, or one without id or items, or with a repeated item id, or
                       // with an item that cannot be sent as a request
   kNotRun,            // refused; no part of the job runs
+  kNoRoom,            // refused, since this host has no memory for it; no part of a submitted job runs
   kStoreUnreachable,  // the store does not answer this host; a read may be retried at another host
   kOutcomeUnknown,    // the job may have been accepted
 };
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -262,40 +262,68 @@
              });
 }
 
-void BatchService::FetchSubmission(const std::string& id, std::vector<Row> rows,
-                                   std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done) {
+void BatchService::FetchSubmission(const std::string& id, std::vector<Row> rows, SubmissionDone done) {
   std::size_t at = 0;
   if (rows.empty() || rows[0].id.key != SubmissionKey()) {
-    done(StoreOutcome::kOk, std::nullopt);
+    done(StoreOutcome::kOk, nullptr);
     return;
   }
   const std::optional<std::string> bytes = JoinRows(rows, at);
   if (bytes && bytes->size() == 1) {
-    FetchObjects(id, static_cast<unsigned char>((*bytes)[0]), "", std::move(done));
+    FetchObjects(id, static_cast<unsigned char>((*bytes)[0]), std::move(done));
     return;
   }
-  done(StoreOutcome::kOk, bytes ? DecodeSubmission(*bytes) : std::nullopt);
+  const std::optional<BatchSubmission> submission = bytes ? DecodeSubmission(*bytes) : std::nullopt;
+  done(StoreOutcome::kOk, submission ? &*submission : nullptr);
 }
 
-void BatchService::FetchObjects(const std::string& id, int count, std::string bytes,
-                                std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done) {
-  const int piece =
-      static_cast<int>((bytes.size() + settings_.max_object_bytes - 1) / settings_.max_object_bytes);
-  if (piece >= count) {
-    done(StoreOutcome::kOk, DecodeSubmission(bytes));
+void BatchService::FetchObjects(const std::string& id, int count, SubmissionDone done) {
+  for (ObjectFetch& it : object_fetches_) {
+    if (it.job != id) continue;
+    it.done.push_back(std::move(done));
     return;
   }
-  store_.GetObject(ObjectName(id, piece), [this, id, count, bytes = std::move(bytes),
-                                           done = std::move(done)](const StoreReply& reply) mutable {
+  object_fetches_.push_back({id, count, loop_.Now() + kReadRetryTimeout, {std::move(done)}});
+  StartObjectFetch();
+}
+
+void BatchService::StartObjectFetch() {
+  if (fetching_objects_ || object_fetches_.empty()) return;
+  fetching_objects_ = true;
+  if (loop_.Now() >= object_fetches_.front().deadline) {
+    EndObjectFetch(StoreOutcome::kUnknown, {});
+  } else {
+    FetchObject(0, {});
+  }
+}
+
+void BatchService::FetchObject(int piece, std::string bytes) {
+  if (piece >= object_fetches_.front().count) {
+    EndObjectFetch(StoreOutcome::kOk, bytes);
+    return;
+  }
+  store_.GetObject(ObjectName(object_fetches_.front().job, piece), [this, piece, bytes = std::move(bytes)](
+                                                                       const StoreReply& reply) mutable {
     if (reply.outcome != StoreOutcome::kOk || reply.rows.empty() || reply.rows[0].value.empty()) {
-      done(reply.outcome == StoreOutcome::kOk ? StoreOutcome::kUnknown : reply.outcome, std::nullopt);
+      EndObjectFetch(StoreOutcome::kUnknown, {});
       return;
     }
     bytes += reply.rows[0].value;
-    FetchObjects(id, count, std::move(bytes), std::move(done));
+    FetchObject(piece + 1, std::move(bytes));
   });
 }
 
+void BatchService::EndObjectFetch(StoreOutcome outcome, std::string_view bytes) {
+  const ObjectFetch fetch = std::move(object_fetches_.front());
+  const std::optional<BatchSubmission> submission =
+      outcome == StoreOutcome::kOk ? DecodeSubmission(bytes) : std::nullopt;
+  for (const SubmissionDone& it : fetch.done) it(outcome, submission ? &*submission : nullptr);
+  object_fetches_.pop_front();
+  fetching_objects_ = false;
+  // Not from here: many that have waited too long would end inside each other.
+  loop_.After(absl::ZeroDuration(), [this] { StartObjectFetch(); });
+}
+
 // ---- Readers ----------------------------------------------------------------------------------------------
 
 void BatchService::Read(const std::string& job, std::int64_t after, absl::Duration wait, PageDone done) {
@@ -390,15 +418,15 @@
                  return;
                }
                FetchSubmission(job, std::move(rows),
-                               [item, done](StoreOutcome fetched, std::optional<BatchSubmission> submission) {
+                               [item, done](StoreOutcome fetched, const BatchSubmission* submission) {
                                  if (fetched != StoreOutcome::kOk) {
                                    done(BatchOutcome::kStoreUnreachable, "");
                                    return;
                                  }
-                                 if (submission) {
-                                   for (BatchItem& it : submission->items) {
+                                 if (submission != nullptr) {
+                                   for (const BatchItem& it : submission->items) {
                                      if (it.id != item) continue;
-                                     done(BatchOutcome::kOk, std::move(it.body));
+                                     done(BatchOutcome::kOk, it.body);
                                      return;
                                    }
                                  }
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -117,6 +117,14 @@
   struct SubmitOp;
   struct ReadOp;
   struct LoadOp;
+  // Gets the submission of a job, or nullptr if there is none or it cannot be read.
+  using SubmissionDone = std::function<void(StoreOutcome, const BatchSubmission*)>;
+  struct ObjectFetch {
+    std::string job;
+    int count = 0;        // objects
+    absl::Time deadline;  // to begin
+    std::vector<SubmissionDone> done;
+  };
 
   void WriteSubmission(const std::shared_ptr<SubmitOp>& submit_op);
   void WriteObjects(const std::shared_ptr<SubmitOp>& submit_op, int piece);
@@ -139,10 +147,11 @@
   static std::string ListedItems(const Job& job);
   void FetchRange(RowRange range, std::vector<Row> rows,
                   std::function<void(StoreOutcome, std::vector<Row>)> done);
-  void FetchSubmission(const std::string& job, std::vector<Row> rows,
-                       std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done);
-  void FetchObjects(const std::string& job, int count, std::string bytes,
-                    std::function<void(StoreOutcome, std::optional<BatchSubmission>)> done);
+  void FetchSubmission(const std::string& job, std::vector<Row> rows, SubmissionDone done);
+  void FetchObjects(const std::string& job, int count, SubmissionDone done);
+  void StartObjectFetch();
+  void FetchObject(int piece, std::string bytes);
+  void EndObjectFetch(StoreOutcome outcome, std::string_view bytes);
   void LoadPartials(Job& job);
   void ReadTexts(const std::string& job, const RowRange& range, std::vector<Row> rows, absl::Time started);
   std::size_t AdoptTexts(Job& job, const std::vector<Row>& rows);
@@ -216,6 +225,10 @@
   absl::Time store_unreachable_at_ = absl::InfinitePast();  // last call of NoteStoreUnreachable
   absl::Time read_failed_at_ = absl::InfinitePast();  // last NoteStoreUnreachable or failed read of results
   std::map<std::string, std::unique_ptr<Job>> jobs_;
+  // Submissions in objects that readers wait for. The first one is being read: each may be as large as a
+  // request, and those who wait for the same one share it.
+  std::deque<ObjectFetch> object_fetches_;
+  bool fetching_objects_ = false;
   std::set<std::string> taking_over_;           // jobs whose lease is being read or written
   std::map<std::string, absl::Time> given_up_;  // jobs that this host could not read, and when it gave up
   double events_per_hint_ = 0;  // moving average over complete texts of events / length hint; 0: none yet
--- a/src/serving/http_messages.cc
+++ b/src/serving/http_messages.cc
@@ -24,8 +24,8 @@
 constexpr std::array<std::string_view, 4> kDutyOutcomes = {"accepted", "unavailable", "refused", "unknown"};
 constexpr std::array<std::string_view, 5> kOrderOutcomes = {"accepted", "already_holds", "busy_or_moved",
                                                             "refused", "unknown"};
-constexpr std::array<std::string_view, 8> kBatchOutcomes = {
-    "ok", "accepted", "not_found", "no_route", "invalid", "not_run", "unsure", "outcome_unknown"};
+constexpr std::array<std::string_view, 9> kBatchOutcomes = {
+    "ok", "accepted", "not_found", "no_route", "invalid", "not_run", "no_room", "unsure", "outcome_unknown"};
 
 // Allowed in the name of a field besides letters and digits (RFC 9110, 5.6.2).
 constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -430,6 +430,14 @@
   }
 }
 
+std::shared_ptr<void> HttpServer::TakeRoomForAnswer(std::size_t bytes) {
+  HeldCharge charge(account_, HeldKind::kAnswers);
+  while (!charge.TryResize(bytes)) {
+    if (!CloseStalledReader()) return nullptr;
+  }
+  return std::make_shared<HeldCharge>(std::move(charge));
+}
+
 bool HttpServer::CloseStalledReader() {
   ConnectionPtr stalled;
   for (const std::pair<const std::uint64_t, ConnectionPtr>& it : connections_) {
--- a/src/serving/http_server.h
+++ b/src/serving/http_server.h
@@ -43,6 +43,9 @@
   void Respond(ExchangeId id, HttpResponse response);
   // Invokes `fn` once if the caller closes the connection before Respond is called.
   void OnCallerDisconnect(ExchangeId id, std::function<void()> fn);
+  // Room for an answer that this host makes itself, to be passed on in HttpResponse::held. Callers that have
+  // stalled give way to it. Returns nullptr if there is none.
+  std::shared_ptr<void> TakeRoomForAnswer(std::size_t bytes);
   // Closes the connection whose caller has not read on in its answer for the longest time, if that is half a
   // second or more, so that another answer has room. Returns false if there is none.
   bool CloseStalledReader();
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -632,6 +632,30 @@
   EXPECT_EQ(body.size(), 800000u);
 }
 
+// Guards against readers that each make a host read the whole of a large job: those of one job share what is
+// read, and those of another one come after them.
+TEST_F(BatchServiceTest, ReadersOfItemsOfALargeJobShareItsObjects) {
+  TestHost& first = AddHost("h1");
+  TestHost& second = AddHost("h2");
+  constexpr std::int64_t kBodyBytes = 800000;
+  for (const char* id : {"large1", "large2"}) {
+    BatchSubmission job = MakeJob(id, 12);
+    for (BatchItem& it : job.items) it.body = std::string(kBodyBytes, 'x');
+    ASSERT_EQ(SubmitNow(first, job), BatchOutcome::kAccepted);
+  }
+  const std::int64_t received_before = second.store.bytes_received;
+  int answered = 0;
+  for (int it = 0; it < 24; ++it) {
+    second.batches->ItemBody(it % 2 == 0 ? "large1" : "large2", absl::StrCat("item", it % 12),
+                             [&answered](BatchOutcome outcome, const std::string& bytes) {
+                               answered += outcome == BatchOutcome::kOk && bytes.size() == kBodyBytes ? 1 : 0;
+                             });
+  }
+  loop.RunFor(absl::Milliseconds(200));
+  EXPECT_EQ(answered, 24);
+  EXPECT_LT(second.store.bytes_received - received_before, 2 * 13 * kBodyBytes);
+}
+
 // Guards against a store that fills up with old jobs, and against removing a job that may still be read.
 TEST_F(BatchServiceTest, JobsAreRemovedAfterTheirRetention) {
   TestHost& first = AddHost("h1");
