Refuse batch jobs for which the host has no memory

Cause: a host kept the items of all jobs that it accepted, and several copies of each while it stored them. Change: jobs are on the account while they are stored and run; a submission without room is refused as not run (503, no_room). Jobs accepted elsewhere are run in any case. New: BatchServiceTest.AJobWithoutRoomIsRefusedAndNeverRuns.

--- a/src/serving/batch_job.h
+++ b/src/serving/batch_job.h
@@ -90,6 +90,7 @@
 
 struct BatchService::Job {
   BatchSubmission submission;  // only its id while `loading`
+  HeldCharge charge;           // for its items
   bool loading = true;     // the lease is this host's, but the items have not been read from the store yet
   std::uint64_t load = 0;  // the load in progress
   BatchLease lease;        // as last written to the store
--- a/src/serving/batch_records.cc
+++ b/src/serving/batch_records.cc
@@ -14,6 +14,7 @@
 using Json = nlohmann::json;
 
 constexpr int kSubmissionFormat = 1;
+constexpr std::size_t kItemMemory = 1 << 10;  // of an item of a job, besides its texts
 constexpr std::size_t kListedItemsField = 6;  // of a lease
 constexpr std::size_t kWorkspaceField = 9;    // of a submission; records without workspaces do not have it
 // Indices of fields that records of versions before 0.3 do not have.
@@ -101,6 +102,17 @@
   });
 }
 
+std::size_t MemoryOf(const BatchSubmission& submission) {
+  std::size_t bytes = 0;
+  for (const BatchItem& it : submission.items) {
+    bytes += kItemMemory + it.id.size() + it.target.size() + it.body.size() + it.group.size();
+    for (const HeaderField& field : it.headers)
+      bytes += sizeof(HeaderField) + field.name.size() + field.value.size();
+    if (it.scoring) bytes += it.scoring->body.size();
+  }
+  return bytes;
+}
+
 std::string EncodeSubmission(const BatchSubmission& submission) {
   Json items = Json::array();
   for (const BatchItem& it : submission.items) {
--- a/src/serving/batch_records.h
+++ b/src/serving/batch_records.h
@@ -52,6 +52,8 @@
 std::int64_t CountItems(std::string_view bitmap);
 
 std::string EncodeSubmission(const BatchSubmission& submission);
+// Estimate of the memory that a submission takes, as it is or as a job.
+std::size_t MemoryOf(const BatchSubmission& submission);
 std::optional<BatchSubmission> DecodeSubmission(std::string_view bytes);
 
 std::string EncodeResult(const ItemResult& result);
--- a/src/serving/batch_runs.cc
+++ b/src/serving/batch_runs.cc
@@ -45,6 +45,8 @@
 // Begins to run a job whose items are known now. `listed_items`: bitmap of those with a stored result.
 void BatchService::SetItems(Job& job, BatchSubmission submission, std::string_view listed_items) {
   job.loading = false;
+  job.charge = HeldCharge(account_, HeldKind::kJobs);
+  job.charge.Resize(MemoryOf(submission));
   job.submission = std::move(submission);
   job.items.resize(job.submission.items.size());
   for (std::size_t it = 0; it < job.items.size(); ++it) {
--- a/src/serving/batch_service.cc
+++ b/src/serving/batch_service.cc
@@ -14,6 +14,7 @@
     absl::Milliseconds(900);  // retries of a read while the store fails
 constexpr absl::Duration kHandOverTimeout = absl::Milliseconds(1500);
 constexpr int kMaxEndTries = 6;
+constexpr std::size_t kCopiesInSubmission = 2;  // of a job that is being stored: as items, and as a record
 
 // The parts of an item that become parts of requests come from the body of a submission, so no HTTP parser
 // has checked them.
@@ -32,6 +33,7 @@
 struct BatchService::SubmitOp {
   BatchSubmission submission;
   std::string bytes;
+  HeldCharge charge;  // for the submission and its bytes
   BatchLease lease;
   Transaction transaction;
   absl::Time deadline;
@@ -123,6 +125,11 @@
     return;
   }
   const std::shared_ptr<SubmitOp> submit_op = std::make_shared<SubmitOp>();
+  submit_op->charge = HeldCharge(account_, HeldKind::kJobs);
+  if (!submit_op->charge.TryResize(kCopiesInSubmission * MemoryOf(submission))) {
+    done(BatchOutcome::kNoRoom);
+    return;
+  }
   submit_op->bytes = EncodeSubmission(submission);
   submit_op->submission = std::move(submission);
   submit_op->done = std::move(done);
@@ -203,6 +210,7 @@
     if (submit_op->lease.owner != settings_.incarnation) {
       owners_->Assign(submit_op->submission.model, id);
     } else if (FindJob(id) == nullptr) {
+      submit_op->charge.Resize(0);
       SetItems(AddOwnedJob(id, submit_op->lease, reply.version), std::move(submit_op->submission), {});
     }
     submit_op->done(BatchOutcome::kAccepted);
--- a/src/serving/batch_service.h
+++ b/src/serving/batch_service.h
@@ -31,6 +31,7 @@
 #include "serving/decisions.h"
 #include "serving/directory.h"
 #include "serving/event_stream.h"
+#include "serving/held_bytes.h"
 #include "serving/model_owners.h"
 #include "serving/scoring.h"
 #include "serving/store_clock.h"
@@ -76,6 +77,9 @@
   // From now on, accepted jobs are assigned to the owner of their model. Without this, each host runs the
   // jobs that it accepts.
   void UseOwners(ModelOwners& owners) { owners_ = &owners; }
+  // From now on, jobs are on the account as long as this host stores or runs them, and a submission without
+  // room is refused. Jobs that were accepted elsewhere are run in any case.
+  void UseHeldBytes(HeldBytes& account) { account_ = &account; }
   void Submit(BatchSubmission submission, Done done);
   // Starts a job that another host has accepted and assigned to this one.
   void StartAssignedJob(const std::string& job);
@@ -222,6 +226,7 @@
   std::uint64_t next_load_ = 1;
   StoreClock store_clock_;
   ModelOwners* owners_ = nullptr;
+  HeldBytes* account_ = nullptr;
   absl::Time store_unreachable_at_ = absl::InfinitePast();  // last call of NoteStoreUnreachable
   absl::Time read_failed_at_ = absl::InfinitePast();  // last NoteStoreUnreachable or failed read of results
   std::map<std::string, std::unique_ptr<Job>> jobs_;
--- a/src/serving/held_bytes.cc
+++ b/src/serving/held_bytes.cc
@@ -10,7 +10,7 @@
 constexpr std::array<std::string_view, kHeldKindCount> kKindNames = {"requests", "answers", "jobs"};
 
 constexpr double kMemoryShare = 0.65;  // of the process's memory limit; a process at rest uses about 10 MB
-constexpr std::array<double, kHeldKindCount> kKindShares = {0.4, 0.4, 0.2};  // of the account
+constexpr std::array<double, kHeldKindCount> kKindShares = {0.35, 0.35, 0.3};  // of the account
 
 constexpr std::size_t kMaxSmallBytes = 64 << 10;
 constexpr std::size_t kMaxMediumBytes = 1 << 20;
--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -656,6 +656,49 @@
   EXPECT_LT(second.store.bytes_received - received_before, 2 * 13 * kBodyBytes);
 }
 
+// Guards against jobs that fill the memory of the host that accepts them: without room a job is refused as
+// not run. One that was accepted elsewhere is run in any case, and the room of a job that has ended is free
+// again.
+TEST_F(BatchServiceTest, AJobWithoutRoomIsRefusedAndNeverRuns) {
+  constexpr std::size_t kBodyBytes = 300000;
+  HeldLimits limits;
+  limits.total = limits.shares[static_cast<std::size_t>(HeldKind::kJobs)] = 4 << 20;
+  static HeldBytes account(limits);  // outlives the hosts
+  TestHost& host = AddHost("h1");
+  host.batches->UseHeldBytes(account);
+  const auto job = [this](const char* id) {
+    BatchSubmission submission = MakeJob(id, 4);
+    for (BatchItem& it : submission.items) {
+      it.id = absl::StrCat(id, "-", it.id);
+      it.body = std::string(kBodyBytes, 'x');
+      engines.event_counts[it.id] = 400;
+    }
+    return submission;
+  };
+  EXPECT_EQ(SubmitNow(host, job("first")), BatchOutcome::kAccepted);
+  EXPECT_GT(account.Held(HeldKind::kJobs), 4 * kBodyBytes);
+  EXPECT_LT(account.Held(HeldKind::kJobs), 5 * kBodyBytes);
+  EXPECT_EQ(SubmitNow(host, job("second")), BatchOutcome::kNoRoom);
+  EXPECT_EQ(SubmitNow(host, job("first")), BatchOutcome::kAccepted);
+  loop.RunFor(absl::Seconds(2));
+  EXPECT_TRUE(std::none_of(engines.runs.begin(), engines.runs.end(),
+                           [](const fakes::RunRecord& it) { return it.request.starts_with("second"); }));
+  EXPECT_EQ(ReadNow(host, "second").first, BatchOutcome::kNotFound);
+
+  TestHost& other = AddHost("h2");
+  EXPECT_EQ(SubmitNow(other, job("third")), BatchOutcome::kAccepted);
+  other.Kill();
+  loop.RunFor(absl::Seconds(3));
+  ReadNow(host, "third");
+  loop.RunFor(absl::Seconds(1));
+  EXPECT_EQ(host.batches->OwnedJobs(), 2);
+
+  for (const char* id : {"first", "third"}) host.batches->End(id, [](BatchOutcome) {});
+  loop.RunFor(absl::Seconds(1));
+  EXPECT_EQ(account.Held(HeldKind::kJobs), 0u);
+  EXPECT_EQ(SubmitNow(host, job("second")), BatchOutcome::kAccepted);
+}
+
 // Guards against a store that fills up with old jobs, and against removing a job that may still be read.
 TEST_F(BatchServiceTest, JobsAreRemovedAfterTheirRetention) {
   TestHost& first = AddHost("h1");
