Stay within the account when a single large body exceeds the share of its kind

Cause: a single large body may exceed the share of requests, but the other kinds could still fill theirs; and a body in chunks was copied each time that it grew, as were answers. Change: large holders of all kinds together stay within the account. Memory for a body in chunks beyond 1 MB is reserved once, and that of an answer by its announced length; the system provides it as it is written to.

--- a/include/oleander/serving.h
+++ b/include/oleander/serving.h
@@ -71,6 +71,9 @@
 // character, which would end the request line.
 bool IsSendableTarget(std::string_view target);
 
+// The announced length of a body, at most `most`; 0: none announced. For reserving memory.
+std::size_t AnnouncedLength(const Headers& headers, std::size_t most);
+
 // True for the status codes that an answer may have (RFC 9110, 15).
 constexpr bool IsHttpStatus(int status) { return status >= 100 && status <= 599; }
 
--- a/src/serving/frontend.cc
+++ b/src/serving/frontend.cc
@@ -196,6 +196,7 @@
     if (it == exchanges_.end()) return;
     Attempt& attempt = it->second->attempts[*self];
     attempt.head = head;
+    attempt.body.reserve(AnnouncedLength(head.headers, UpstreamCall().max_body_bytes));
     const AttemptVerdict verdict = ClassifyAttempt(CallEnd::kComplete, head, it->second->request.id);
     if (verdict == AttemptVerdict::kAnswered || verdict == AttemptVerdict::kFailed)
       RecordBegin(*it->second, attempt.started);
--- a/src/serving/held_bytes.cc
+++ b/src/serving/held_bytes.cc
@@ -18,7 +18,7 @@
 // By HeldSize: how far holders of a size may fill the share of their kind, and the part of it that holders of
 // this and smaller sizes may fill in any case.
 constexpr std::array<double, kHeldSizeCount> kFill = {1.0, 0.8, 0.6};
-constexpr std::array<double, kHeldSizeCount> kReserved = {0.2, 0.4, 0.0};
+constexpr std::array<double, kHeldSizeCount> kReserved = {0.15, 0.25, 0.0};
 
 std::size_t PartOf(std::size_t bytes, double part) {
   return static_cast<std::size_t>(static_cast<double>(bytes) * part);
@@ -55,14 +55,16 @@
   std::array<std::size_t, kHeldSizeCount> others = use[index];
   others[static_cast<std::size_t>(SizeOf(held))] -= held;
   const std::size_t all = std::accumulate(others.begin(), others.end(), std::size_t{0});
-  if (all + wanted <= PartOf(share, kFill[size])) return true;
-  const std::size_t smaller = std::accumulate(others.begin(), others.begin() + size + 1, std::size_t{0});
-  if (smaller + wanted <= PartOf(share, kReserved[size])) return true;
-  const bool alone =
-      SizeOf(wanted) == HeldSize::kLarge && others[static_cast<std::size_t>(HeldSize::kLarge)] == 0;
+  const bool fits = all + wanted <= PartOf(share, kFill[size]);
+  if (SizeOf(wanted) != HeldSize::kLarge) {
+    const std::size_t smaller = std::accumulate(others.begin(), others.begin() + size + 1, std::size_t{0});
+    return fits || smaller + wanted <= PartOf(share, kReserved[size]);
+  }
+  // While a single large holder exceeds the share of its kind, that room is missing for other kinds.
+  const bool alone = others[size] == 0;
   std::size_t total = wanted - held;
   for (std::size_t it = 0; it < kHeldKindCount; ++it) total += BytesOf(use, static_cast<HeldKind>(it));
-  return alone && total <= limits.total;
+  return (fits || alone) && total <= limits.total;
 }
 
 std::uint64_t ChooseRefused(const std::vector<RoomWaiter>& waiters, absl::Duration max_wait, absl::Time now) {
--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -167,7 +167,11 @@
   const std::shared_ptr<HttpResponse> answer = std::make_shared<HttpResponse>();
   HttpCallHandlers handlers;
   handlers.accepts = std::move(accepts);
-  handlers.on_head = [answer](const HttpResponse& head) { *answer = head; };
+  const std::size_t most = call.max_body_bytes;
+  handlers.on_head = [answer, most](const HttpResponse& head) {
+    *answer = head;
+    answer->body.reserve(AnnouncedLength(head.headers, most));
+  };
   handlers.on_body = [answer](std::string_view piece) { answer->body.append(piece); };
   handlers.on_end = [answer, done = std::move(done)](CallEnd end) { done(end, *answer); };
   return Start(std::move(call), std::move(handlers));
--- a/src/serving/http_messages.cc
+++ b/src/serving/http_messages.cc
@@ -50,6 +50,11 @@
   std::erase_if(headers, [name](const HeaderField& it) { return EqualsIgnoreCase(it.name, name); });
 }
 
+std::size_t AnnouncedLength(const Headers& headers, std::size_t most) {
+  std::size_t length = 0;
+  return ParseInteger(FindHeader(headers, "Content-Length"), &length) ? std::min(length, most) : 0;
+}
+
 bool IsConnectionHeader(std::string_view name) {
   for (const std::string_view it : kConnectionHeaders) {
     if (EqualsIgnoreCase(it, name)) return true;
--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -168,7 +168,7 @@
   } else if (!connection.charge.TryResize(memory)) {
     return false;
   }
-  if (room > connection.body_room) ReserveBody(connection.reader, room);
+  if (room > connection.body_room) ReserveBody(connection.reader, limits_, room);
   connection.body_room = room;
   return true;
 }
--- a/src/serving/request_reader.cc
+++ b/src/serving/request_reader.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t kReceiveBodyBytes = 32 << 10;  //
 constexpr std::size_t kMinFramingWindow = 4 << 10;   // holds any chunk header without extensions
 constexpr std::size_t kFirstBodyRoom = 64 << 10;     // of a body in chunks; doubled as it grows
+constexpr std::size_t kMaxCopiedBody = 1 << 20;      // a larger body in chunks is not copied to grow
 
 // Of one field besides its text: two strings with their allocations, here and in the message to the upstream.
 constexpr std::size_t kFieldMemory = 200;
@@ -119,9 +120,10 @@
   return std::min(room, static_cast<std::size_t>(limits.max_body_bytes) + kReceiveBodyBytes);
 }
 
-void ReserveBody(RequestReader& reader, std::size_t room) {
-  if (reader.parser && reader.parser->chunked() && room > kFirstBodyRoom)
-    reader.parser->get().body().reserve(room);
+void ReserveBody(RequestReader& reader, const CallerLimits& limits, std::size_t room) {
+  if (!reader.parser || !reader.parser->chunked() || room <= kFirstBodyRoom) return;
+  const std::size_t most = static_cast<std::size_t>(limits.max_body_bytes);
+  reader.parser->get().body().reserve(room <= kMaxCopiedBody ? room : most);
 }
 
 std::size_t BodyReceived(const RequestReader& reader) {
--- a/src/serving/request_reader.h
+++ b/src/serving/request_reader.h
@@ -34,8 +34,9 @@
 // Room for the body of the request in progress that must be there before the next read: its announced length,
 // or for a body in chunks a size that grows in steps. 0: none.
 std::size_t BodyRoomNeeded(const RequestReader& reader, const CallerLimits& limits);
-// Allocates the room of a body in chunks, so that it is not copied to grow.
-void ReserveBody(RequestReader& reader, std::size_t room);
+// Allocates the room of a body in chunks. For a large one that is the limit of bodies: the system provides
+// memory as it is written to, and a copy at each step would need twice as much.
+void ReserveBody(RequestReader& reader, const CallerLimits& limits, std::size_t room);
 // Bytes of the body that have been received.
 std::size_t BodyReceived(const RequestReader& reader);
 // Estimate of the memory that fields take, with the copies that are made to pass them on. Short fields take
