--- a/src/serving/request_reader.cc
+++ b/src/serving/request_reader.cc
@@ -16,6 +16,7 @@
 constexpr std::size_t kMinFramingWindow = 4 << 10;   // holds any chunk header without extensions
 constexpr std::size_t kFirstBodyRoom = 64 << 10;     // of a body in chunks; doubled as it grows
 constexpr std::size_t kMaxCopiedBody = 1 << 20;      // a larger body in chunks is not copied to grow
+constexpr std::size_t kMaxReservedBody = 256 << 20;  // of address space, whatever the configured limit
 
 // Of one field besides its text: two strings with their allocations, here and in the message to the upstream.
 constexpr std::size_t kFieldMemory = 200;
@@ -122,7 +123,7 @@
 
 void ReserveBody(RequestReader& reader, const CallerLimits& limits, std::size_t room) {
   if (!reader.parser || !reader.parser->chunked() || room <= kFirstBodyRoom) return;
-  const std::size_t most = static_cast<std::size_t>(limits.max_body_bytes);
+  const std::size_t most = std::min(static_cast<std::size_t>(limits.max_body_bytes), kMaxReservedBody);
   reader.parser->get().body().reserve(room <= kMaxCopiedBody ? room : most);
 }
 
