--- a/tests/caller_limits_test.cc
+++ b/tests/caller_limits_test.cc
@@ -3,8 +3,11 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <chrono>
 #include <functional>
 #include <list>
+#include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -319,6 +322,84 @@
   EXPECT_EQ(account.Held(HeldKind::kAnswers), 0u);
 }
 
+// Guards against room that is lost: whatever callers send, read or leave unread, and in whatever order they
+// close, the account stays within its limits and is empty once they have gone.
+TEST_F(CallerLimitsTest, NothingIsHeldAfterCallersHaveGone) {
+  constexpr int kRounds = 6;
+  constexpr int kSteps = 400;
+  constexpr std::size_t kCallers = 24;
+  std::mt19937_64 random(20261207);
+  const HeldLimits room = HeldLimitsFor(6 << 20);
+  HeldBytes account(room);
+  HttpServer* running = nullptr;
+  int handled = 0;
+  HttpServer server(loop, [&](ExchangeId id, const HttpRequest& request) {
+    ++handled;
+    HttpResponse answer = {200, "", {}, std::string(random() % (3 << 20), 'a')};
+    // The request is held until it is answered.
+    loop.After(absl::Milliseconds(random() % 20),
+               [&running, id, request, answer] { running->Respond(id, answer); });
+  });
+  running = &server;
+  server.UseHeldBytes(account);
+  server.SetMaxConnections(16);
+  ASSERT_TRUE(server.Listen("127.0.0.1:21898"));
+  const std::string small = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+  const std::vector<std::string> pieces = {
+      small,
+      small + small,
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + std::string(200000, 'y'),
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" +
+          std::string(0x20000, 'x') + "\r\n0\r\nA: b\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "20000\r\n" + std::string(0x20000, 'x') + "\r\n",
+      "0\r\n\r\n",
+      "0\r\nA: b\r\n",
+      "GET / HTTP/1.1\r\nHost: h\r\n",
+      std::string(300000, 'z'),
+  };
+  std::size_t most_held = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<std::unique_ptr<tcp::socket>> callers(kCallers);
+    for (int step = 0; step < kSteps; ++step) {
+      std::unique_ptr<tcp::socket>& caller = callers[random() % kCallers];
+      boost::system::error_code ec;
+      if (caller == nullptr) {
+        caller = std::make_unique<tcp::socket>(context);
+        caller->connect({asio::ip::make_address("127.0.0.1"), 21898}, ec);
+        caller->non_blocking(true, ec);
+      } else if (random() % 12 == 0) {
+        caller.reset();
+      } else if (random() % 4 == 0) {
+        std::string read(1 << 20, 0);
+        caller->read_some(asio::buffer(read), ec);
+      } else {
+        caller->write_some(asio::buffer(pieces[random() % pieces.size()]), ec);
+      }
+      loop.Context().restart();
+      for (std::uint64_t n = random() % 8; n > 0; --n) loop.Context().poll_one();
+      if (random() % 50 == 0) server.CloseStalledReader();
+      if (random() % 20 == 0) {
+        loop.Context().restart();
+        loop.Context().run_for(std::chrono::milliseconds(random() % 40));
+      }
+      most_held = std::max(most_held, account.Held(HeldKind::kRequests));
+    }
+    callers.clear();
+    const absl::Time deadline = loop.Now() + kTestTimeout / 4;
+    while (server.Connections() > 0 && loop.Now() < deadline) {
+      loop.Context().restart();
+      loop.Context().run_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_EQ(server.Connections(), 0) << round;
+    for (const HeldKind it : {HeldKind::kRequests, HeldKind::kAnswers})
+      EXPECT_EQ(account.Held(it), 0u) << round;
+  }
+  EXPECT_GT(handled, 50);
+  EXPECT_LE(most_held, room.total);
+}
+
 // Guards against trailers and chunk extensions that never end: they may have as many bytes as a head, however
 // the bytes are cut.
 TEST(RequestReaderTest, TrailersAndChunkExtensionsAreBoundedLikeHeads) {
