Refuse a whole request whose head has no room

Cause: a field costs some 200 bytes besides its text, more than ten times its length, and a request that was complete with its head went on without asking the account. Change: a complete request asks, too, and is refused as not run (503) without room.

--- a/src/serving/http_server.cc
+++ b/src/serving/http_server.cc
@@ -330,11 +330,16 @@
     }
     return;
   }
+  // A head of many short fields takes many times its bytes.
+  if (!connection->charge.TryResize(connection->reader.head_memory +
+                                    connection->reader.request.body.size())) {
+    Refuse(connection, kServiceUnavailable, "no_room");
+    return;
+  }
   connection->exchange = next_id_++;
   exchanges_[connection->exchange] = connection;
   WatchForDisconnect(connection);
   HttpRequest request = std::move(connection->reader.request);
-  connection->charge.Resize(connection->reader.head_memory + request.body.size());
   request.held = std::make_shared<HeldCharge>(std::move(connection->charge));
   connection->charge = HeldCharge(account_, HeldKind::kRequests);
   connection->charge.Resize(connection->reader.buffer.capacity());
