--- a/tests/batch_service_fixture.h
+++ b/tests/batch_service_fixture.h
@@ -120,13 +120,15 @@
   }
   // Reads the results from position `after` on, as a trainer does. Advances the clock by 1.1 s.
   std::pair<BatchOutcome, BatchPage> ReadNow(TestHost& host, const std::string& job, std::int64_t after = 0) {
-    std::pair<BatchOutcome, BatchPage> read = {BatchOutcome::kStoreUnreachable, {}};
-    host.batches->Read(job, after, absl::ZeroDuration(),
-                       [&read](BatchOutcome outcome, const BatchPage& page) {
-                         read = {outcome, page};
-                       });
+    using Result = std::pair<BatchOutcome, BatchPage>;
+    // A read may end after this function has returned.
+    const std::shared_ptr<Result> read =
+        std::make_shared<Result>(BatchOutcome::kStoreUnreachable, BatchPage());
+    host.batches->Read(job, after, absl::ZeroDuration(), [read](BatchOutcome outcome, const BatchPage& page) {
+      *read = {outcome, page};
+    });
     loop.RunFor(absl::Milliseconds(1100));
-    return read;
+    return *read;
   }
   void ExpectCompleteResults(const BatchPage& page, int items) {
     ASSERT_EQ(static_cast<int>(page.results.size()), items);
