--- a/tests/batch_service_test.cc
+++ b/tests/batch_service_test.cc
@@ -637,10 +637,10 @@
 TEST_F(BatchServiceTest, ReadersOfItemsOfALargeJobShareItsObjects) {
   TestHost& first = AddHost("h1");
   TestHost& second = AddHost("h2");
-  constexpr std::int64_t kBodyBytes = 800000;
+  constexpr std::int64_t body_bytes = 800000;
   for (const char* id : {"large1", "large2"}) {
     BatchSubmission job = MakeJob(id, 12);
-    for (BatchItem& it : job.items) it.body = std::string(kBodyBytes, 'x');
+    for (BatchItem& it : job.items) it.body = std::string(body_bytes, 'x');
     ASSERT_EQ(SubmitNow(first, job), BatchOutcome::kAccepted);
   }
   const std::int64_t received_before = second.store.bytes_received;
@@ -648,19 +648,19 @@
   for (int it = 0; it < 24; ++it) {
     second.batches->ItemBody(it % 2 == 0 ? "large1" : "large2", absl::StrCat("item", it % 12),
                              [&answered](BatchOutcome outcome, const std::string& bytes) {
-                               answered += outcome == BatchOutcome::kOk && bytes.size() == kBodyBytes ? 1 : 0;
+                               answered += outcome == BatchOutcome::kOk && bytes.size() == body_bytes ? 1 : 0;
                              });
   }
   loop.RunFor(absl::Milliseconds(200));
   EXPECT_EQ(answered, 24);
-  EXPECT_LT(second.store.bytes_received - received_before, 2 * 13 * kBodyBytes);
+  EXPECT_LT(second.store.bytes_received - received_before, 2 * 13 * body_bytes);
 }
 
 // Guards against jobs that fill the memory of the host that accepts them: without room a job is refused as
 // not run. One that was accepted elsewhere is run in any case, and the room of a job that has ended is free
 // again.
 TEST_F(BatchServiceTest, AJobWithoutRoomIsRefusedAndNeverRuns) {
-  constexpr std::size_t kBodyBytes = 300000;
+  constexpr std::size_t body_bytes = 300000;
   HeldLimits limits;
   limits.total = limits.shares[static_cast<std::size_t>(HeldKind::kJobs)] = 4 << 20;
   static HeldBytes account(limits);  // outlives the hosts
@@ -670,14 +670,14 @@
     BatchSubmission submission = MakeJob(id, 4);
     for (BatchItem& it : submission.items) {
       it.id = absl::StrCat(id, "-", it.id);
-      it.body = std::string(kBodyBytes, 'x');
+      it.body = std::string(body_bytes, 'x');
       engines.event_counts[it.id] = 400;
     }
     return submission;
   };
   EXPECT_EQ(SubmitNow(host, job("first")), BatchOutcome::kAccepted);
-  EXPECT_GT(account.Held(HeldKind::kJobs), 4 * kBodyBytes);
-  EXPECT_LT(account.Held(HeldKind::kJobs), 5 * kBodyBytes);
+  EXPECT_GT(account.Held(HeldKind::kJobs), 4 * body_bytes);
+  EXPECT_LT(account.Held(HeldKind::kJobs), 5 * body_bytes);
   EXPECT_EQ(SubmitNow(host, job("second")), BatchOutcome::kNoRoom);
   EXPECT_EQ(SubmitNow(host, job("first")), BatchOutcome::kAccepted);
   loop.RunFor(absl::Seconds(2));
--- a/tests/caller_limits_test.cc
+++ b/tests/caller_limits_test.cc
@@ -251,10 +251,10 @@
 // Guards against answers that nobody reads: they keep the room of one that waits. The caller that reads,
 // though slowly, keeps its connection.
 TEST_F(CallerLimitsTest, AnAnswerThatNobodyReadsGivesWay) {
-  constexpr std::size_t kAnswerBytes = 24 << 20;  // more than socket buffers hold
+  constexpr std::size_t answer_bytes = 24 << 20;  // more than socket buffers hold
   HttpServer* running = nullptr;
   HttpServer server(loop, [&](ExchangeId id, const HttpRequest&) {
-    running->Respond(id, {200, "", {}, std::string(kAnswerBytes, 'a')});
+    running->Respond(id, {200, "", {}, std::string(answer_bytes, 'a')});
   });
   running = &server;
   HeldBytes account(RoomForOne(kRoom, HeldKind::kAnswers));
@@ -280,7 +280,7 @@
     }
   });
   EXPECT_EQ(closed, 1);
-  EXPECT_GT(read, kAnswerBytes);
+  EXPECT_GT(read, answer_bytes);
   EXPECT_EQ(account.Held(HeldKind::kAnswers), 0u);
 }
 
@@ -325,9 +325,9 @@
 // Guards against room that is lost: whatever callers send, read or leave unread, and in whatever order they
 // close, the account stays within its limits and is empty once they have gone.
 TEST_F(CallerLimitsTest, NothingIsHeldAfterCallersHaveGone) {
-  constexpr int kRounds = 6;
-  constexpr int kSteps = 400;
-  constexpr std::size_t kCallers = 24;
+  constexpr int rounds = 6;
+  constexpr int steps = 400;
+  constexpr std::size_t crowd = 24;
   std::mt19937_64 random(20261207);
   const HeldLimits room = HeldLimitsFor(6 << 20);
   HeldBytes account(room);
@@ -360,10 +360,10 @@
       std::string(300000, 'z'),
   };
   std::size_t most_held = 0;
-  for (int round = 0; round < kRounds; ++round) {
-    std::vector<std::unique_ptr<tcp::socket>> callers(kCallers);
-    for (int step = 0; step < kSteps; ++step) {
-      std::unique_ptr<tcp::socket>& caller = callers[random() % kCallers];
+  for (int round = 0; round < rounds; ++round) {
+    std::vector<std::unique_ptr<tcp::socket>> callers(crowd);
+    for (int step = 0; step < steps; ++step) {
+      std::unique_ptr<tcp::socket>& caller = callers[random() % crowd];
       boost::system::error_code ec;
       if (caller == nullptr) {
         caller = std::make_unique<tcp::socket>(context);
@@ -403,7 +403,7 @@
 // Guards against trailers and chunk extensions that never end: they may have as many bytes as a head, however
 // the bytes are cut.
 TEST(RequestReaderTest, TrailersAndChunkExtensionsAreBoundedLikeHeads) {
-  constexpr std::size_t kMaxHeaderBytes = 8000;
+  constexpr std::size_t max_header_bytes = 8000;
   const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
   const auto trailer = [](std::size_t size) {
     std::string text = "0\r\n";
@@ -420,7 +420,7 @@
   for (const std::pair<std::string, bool>& it : cases) {
     for (const std::size_t piece : {1, 7, 1000, 100000}) {
       const FoundRequests found = FindRequests(
-          head + it.first, [piece] { return piece; }, kMaxHeaderBytes);
+          head + it.first, [piece] { return piece; }, max_header_bytes);
       EXPECT_EQ(found.requests.size(), it.second ? 1u : 0u) << it.first.size() << " " << piece;
       EXPECT_EQ(found.refused, it.second ? 0 : 431) << it.first.size() << " " << piece;
     }
