Take an answer without a length for broken if its connection failed

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as a whole answer, trainers got texts with events missing as completed, and a batch job was accepted although its objects were not in the store.

Cause: a reset is reported once. If the write of the request gets the error, the next read returns the end of the stream, as after an orderly end, and HttpClient took that for the end of a body without a length.

Change: HttpClient keeps the error of the write; a response that ends with such a connection is broken (RFC 9112, section 8). If the request is still being written when the response ends, the end of the write decides, for at most 250 ms.

--- a/src/serving/http_client.cc
+++ b/src/serving/http_client.cc
@@ -28,11 +28,15 @@
 
 constexpr std::string_view kTimeoutParameter = "timeout=";  // of the Keep-Alive header
 constexpr std::size_t kReadBytes = 8 << 10;  // for one read; Beast's default of 512 bytes splits each event
-constexpr int kSwitchingProtocols = 101;     // status code; this client never requests an upgrade
+constexpr std::string_view kConnectionFailed = "connection_failed";  // reason in the log and the counter
+constexpr int kSwitchingProtocols = 101;  // status code; this client never requests an upgrade
 // An idle connection is dropped this long before the idle timeout that the peer states.
 constexpr absl::Duration kKeepAliveMargin = absl::Milliseconds(500);
 constexpr absl::Duration kMaxRoomWait = absl::Milliseconds(600);  // then the largest response is aborted
 constexpr absl::Duration kRoomCheckInterval = absl::Milliseconds(20);
+// Longest wait for the rest of a request to be written after its response has ended with the connection. A
+// peer that has closed the connection answers the next bytes with a reset, which takes one round trip.
+constexpr absl::Duration kMaxWriteAfterEnd = absl::Milliseconds(250);
 
 // Returns the timeout parameter of a Keep-Alive header, or `fallback` if there is none.
 absl::Duration ParseKeepAliveTimeout(std::string_view keep_alive, absl::Duration fallback) {
@@ -66,6 +70,8 @@
   bool reused = false;  // it was idle before the call
   bool write_started = false;
   bool write_done = false;
+  boost::system::error_code write_error;
+  bool response_ended = false;  // by the end of the connection, while the request is still being written
   bool head_reported = false;
   bool head_request = false;  // a HEAD request: the response has no body
   std::size_t max_body_bytes = 0;
@@ -118,6 +124,8 @@
   connection->reused = connection->connected;
   connection->write_started = false;
   connection->write_done = false;
+  connection->write_error = {};
+  connection->response_ended = false;
   connection->head_reported = false;
   connection->head_request = call.request.method == "HEAD";
   connection->max_body_bytes = call.max_body_bytes;
@@ -253,11 +261,13 @@
   const CallId id = connection->call;
   connection->write_started = true;
   http::async_write(connection->socket, connection->outbound,
-                    [connection, id](boost::system::error_code ec, std::size_t) {
+                    [this, connection, id](boost::system::error_code ec, std::size_t) {
                       if (connection->call != id) return;
-                      connection->write_done = !ec;  // a write error also makes the read fail
+                      connection->write_done = !ec;
+                      connection->write_error = ec;
                       connection->outbound.body() = {};
                       connection->outbound_body.reset();
+                      if (connection->response_ended) OnEndOfConnection(connection);
                     });
   Receive(connection);
 }
@@ -344,7 +354,8 @@
     http::response_parser<http::string_body>& parser = *connection.parser;
     if (!parser.got_some()) return false;
     parser.put_eof(ec);
-    return !ec && parser.is_done();
+    connection.response_ended = !ec && parser.is_done();
+    return connection.response_ended;
   }
   if (received) return false;
   connection.over_limit = connection.buffer.size() > kMaxUnparsedBytes;
@@ -425,9 +436,12 @@
     if (connection->handlers.on_body) connection->handlers.on_body(piece);
     if (connection->call != id) return;
   }
-  if (connection->head_fault != HeadFault::kNone) LogMalformedHead(*connection);
+  if (connection->head_fault != HeadFault::kNone)
+    LogRefusedAnswer(*connection, NameOf(connection->head_fault));
   if (failed) {
     Finish(connection, connection->over_limit ? CallEnd::kTooLarge : CallEnd::kBroken);
+  } else if (connection->response_ended) {
+    OnEndOfConnection(connection);
   } else if (parser.is_done()) {
     Finish(connection, CallEnd::kComplete);
   } else {
@@ -435,6 +449,22 @@
   }
 }
 
+// Handles a response that ended with its connection. It is complete unless the connection indicated an error
+// (RFC 9112, 8). The system reports a reset only once: if the write of the request got it, the read that
+// follows returns the end of the stream, as if the peer had closed the connection in order.
+void HttpClient::OnEndOfConnection(const ConnectionPtr& connection) {
+  if (connection->write_error) {
+    LogRefusedAnswer(*connection, kConnectionFailed);
+    Finish(connection, CallEnd::kBroken);
+  } else if (connection->write_done) {
+    Finish(connection, CallEnd::kComplete);
+  } else {
+    connection->deadline = std::min(connection->deadline, loop_.Now() + kMaxWriteAfterEnd);
+    loop_.Cancel(connection->timer);
+    ScheduleTimeoutCheck(connection);
+  }
+}
+
 void HttpClient::Finish(const ConnectionPtr& connection, CallEnd end) {
   calls_.erase(connection->call);
   connection->charge->Resize(connection->head_memory + connection->body_bytes);
@@ -492,13 +522,14 @@
                 {"silent_ms", absl::ToInt64Milliseconds(loop_.Now() - silent_since)}});
 }
 
-void HttpClient::LogMalformedHead(const Connection& connection) const {
-  AddCounter(GlobalMetrics(), "upstream_answers_refused", NameOf(connection.head_fault));
-  LogEventLine(LogLevel::kWarning, LogEvent::kAnswerMalformed,
-               {{"address", connection.address},
-                {"reason", NameOf(connection.head_fault)},
-                {"received", connection.received_bytes},
-                {"ms", absl::ToInt64Milliseconds(loop_.Now() - connection.started)}});
+void HttpClient::LogRefusedAnswer(const Connection& connection, std::string_view reason) const {
+  AddCounter(GlobalMetrics(), "upstream_answers_refused", reason);
+  Json line = {{"address", connection.address},
+               {"reason", reason},
+               {"received", connection.received_bytes},
+               {"ms", absl::ToInt64Milliseconds(loop_.Now() - connection.started)}};
+  if (connection.write_error) line["error"] = connection.write_error.message();
+  LogEventLine(LogLevel::kWarning, LogEvent::kAnswerMalformed, line);
 }
 
 void HttpClient::LogUnanswered(const Connection& connection) const {
@@ -552,7 +583,8 @@
                       connection->silence_timeout != absl::InfiniteDuration() &&
                       now >= connection->last_activity + connection->silence_timeout;
   if (connect_timed_out || silent || now >= connection->deadline) {
-    Finish(connection, connection->write_started ? CallEnd::kTimedOut : CallEnd::kNotSent);
+    const CallEnd end = connection->write_started ? CallEnd::kTimedOut : CallEnd::kNotSent;
+    Finish(connection, connection->response_ended ? CallEnd::kComplete : end);
     return;
   }
   ScheduleTimeoutCheck(connection);
--- a/src/serving/http_client.h
+++ b/src/serving/http_client.h
@@ -93,9 +93,10 @@
   void CheckRoom();
   void GiveRoomToWaiting();
   void AbortLargest();
+  void OnEndOfConnection(const ConnectionPtr& connection);
   void Finish(const ConnectionPtr& connection, CallEnd end);
   void CloseSuspects(const std::string& address, absl::Time silent_since);
-  void LogMalformedHead(const Connection& connection) const;
+  void LogRefusedAnswer(const Connection& connection, std::string_view reason) const;
   void LogUnanswered(const Connection& connection) const;
   void KeepIdle(const ConnectionPtr& connection);
   void ScheduleTimeoutCheck(const ConnectionPtr& connection);
