Let the items of a small step use another engine when theirs fails

What trainers saw: items of a small job were not completed while the one engine of their step answered each run with a broken answer, although another engine was sound and idle.

Cause: EngineShare gives a step as many engines as its items can fill. Two items got one engine of eight slots, and the slots of an engine counted whether its calls failed or not. The log shows each item going back to that engine every 2 s, the longest pause after failures (event 534, 536).

Change: the slots of an engine whose last call failed do not count, so that the step gets the next engine in order too.

The new test of EngineShareTest failed before.

--- a/src/serving/decisions.cc
+++ b/src/serving/decisions.cc
@@ -385,7 +385,7 @@
   for (const std::pair<std::uint64_t, UpstreamState*>& it : ranked) {
     if (slots >= wanted) break;
     share.push_back(it.second);
-    slots += std::max(1, it.second->entry.slots);
+    if (it.second->failures_in_row == 0) slots += std::max(1, it.second->entry.slots);
   }
   return share;
 }
--- a/src/serving/decisions.h
+++ b/src/serving/decisions.h
@@ -182,6 +182,8 @@
 
 // Returns the engines that an owner uses for `items` items: the first engines, in an order that is the same
 // for all steps of the model, that together have three slots per item; all engines if there are fewer slots.
+// An engine whose last call failed is among them, but its slots do not count: the items of a small step would
+// have no other engine.
 // Load pattern: a fleet has ten times the engines that a step can fill. Querying the load of each engine,
 // connecting to it and computing its cost for each item would cost the owner more than running its items.
 std::vector<UpstreamState*> EngineShare(const std::vector<UpstreamState*>& usable, const std::string& model,
--- a/tests/decisions_test.cc
+++ b/tests/decisions_test.cc
@@ -130,6 +130,22 @@
   EXPECT_EQ(EngineShare(usable, "words", 6, 192), usable);
 }
 
+// Guards against a small step that goes back to one engine as long as all of its answers are broken.
+TEST(EngineShareTest, TheSlotsOfAnEngineThatFailsDoNotCount) {
+  std::vector<UpstreamState> states = Engines(3, 8);
+  const std::vector<UpstreamState*> usable = Pointers(states);
+  const std::vector<UpstreamState*> share = EngineShare(usable, "words", 5, 2);
+  ASSERT_EQ(share.size(), 1u);
+  ObserveFailure(*share[0], absl::UnixEpoch());
+  const std::vector<UpstreamState*> with_another = EngineShare(usable, "words", 5, 2);
+  ASSERT_EQ(with_another.size(), 2u);
+  EXPECT_EQ(with_another[0], share[0]) << "it may serve again, and connections to it are open";
+  ObserveFailure(*with_another[1], absl::UnixEpoch());
+  EXPECT_EQ(EngineShare(usable, "words", 5, 2).size(), 3u);
+  ObserveSuccess(*share[0]);
+  EXPECT_EQ(EngineShare(usable, "words", 5, 2), share);
+}
+
 // Guards against placing a step on outdated costs: the incremental costs must choose the same engines as a
 // full computation for each item.
 TEST(PlacementCostsTest, IncrementalCostsChooseTheSameEnginesAsAFullComputation) {
