Read the answers of hosts and stand-ins in the load tool with SendHttp

No broken answer was seen there: the change leaves one reader of answers outside the stand-ins and tests.

--- a/src/load/audit_log.cc
+++ b/src/load/audit_log.cc
@@ -1,13 +1,14 @@
 #include "load/audit_log.h"
 
-#include <httplib.h>
-
 #include "absl/hash/hash.h"
 #include "absl/strings/str_cat.h"
+#include "load/load_http.h"
 
 namespace oleander::load {
 namespace {
 
+constexpr std::size_t kMaxAuditLogBytes = 1 << 30;  // it grows with the load
+
 std::uint64_t TokenHash(int position, std::int32_t token, Version version) {
   return absl::HashOf(position, token, version);
 }
@@ -63,13 +64,15 @@
 }
 
 leaf::result<AuditLog> FetchAuditLog(const LoadPlan& plan) {
-  httplib::Client client(plan.address, ControlPort(plan));
-  client.set_read_timeout(30);
-  const auto result = client.Get("/books");
-  if (!result || result->status != 200)
+  HttpCall call;
+  call.path = "/books";
+  call.deadline = absl::Seconds(30);
+  call.max_answer_bytes = kMaxAuditLogBytes;
+  const Outcome<HttpAnswer> answer = CallProgram(plan, ControlPort(plan), call);
+  if (!Ok(answer) || Value(answer).status != 200)
     return Fail(ErrorKind::kUpstreamFailed,
                 "GET /books of the stand-ins: no response or status other than 200");
-  Json json = Json::parse(result->body, nullptr, false);
+  Json json = Json::parse(Value(answer).body, nullptr, false);
   if (!json.is_object())
     return Fail(ErrorKind::kUpstreamProtocol, "GET /books of the stand-ins: response is not a JSON object");
   return ParseAuditLog(std::move(json));
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -1,7 +1,6 @@
 #include "load/load_run.h"
 
 #include <arpa/inet.h>
-#include <httplib.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,6 +11,7 @@
 #include "absl/time/clock.h"
 #include "load/audit_log.h"
 #include "load/callers.h"
+#include "load/load_http.h"
 #include "load/load_record.h"
 #include "load/load_summary.h"
 #include "load/trainer.h"
@@ -23,10 +23,11 @@
 constexpr absl::Duration kReadyPollInterval = absl::Milliseconds(100);
 
 bool IsReady(const LoadPlan& plan, const PlannedHost& host) {
-  httplib::Client client(plan.address, host.caller_port);
-  client.set_read_timeout(1);
-  const auto result = client.Get("/readyz");
-  return result && result->status == 200;
+  HttpCall call;
+  call.path = "/readyz";
+  call.deadline = absl::Seconds(1);
+  const Outcome<HttpAnswer> answer = CallProgram(plan, host.caller_port, call);
+  return Ok(answer) && Value(answer).status == 200;
 }
 
 leaf::result<void> WaitForHosts(const LoadPlan& plan) {
@@ -114,10 +115,15 @@
 }
 
 leaf::result<void> SendFault(const LoadPlan& plan, const Json& fault) {
-  httplib::Client client(plan.address, ControlPort(plan));
-  const auto result = client.Post("/control/fault", fault.dump(), "application/json");
-  if (!result) return Fail(ErrorKind::kUpstreamFailed, "no response from the control port of the stand-ins");
-  if (result->status != 200) return Fail(ErrorKind::kInvalidRequest, result->body);
+  HttpCall call;
+  call.method = "POST";
+  call.path = "/control/fault";
+  call.body = fault.dump();
+  const Outcome<HttpAnswer> answer = CallProgram(plan, ControlPort(plan), call);
+  if (!Ok(answer))
+    return Fail(ErrorKind::kUpstreamFailed,
+                "no response from the control port of the stand-ins: " + ErrorOf(answer).detail);
+  if (Value(answer).status != 200) return Fail(ErrorKind::kInvalidRequest, Value(answer).body);
   return {};
 }
 
--- a/src/load/load_summary.cc
+++ b/src/load/load_summary.cc
@@ -1,7 +1,5 @@
 #include "load/load_summary.h"
 
-#include <httplib.h>
-
 #include <algorithm>
 #include <cstdlib>
 
@@ -10,6 +8,7 @@
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
 #include "absl/time/clock.h"
+#include "load/load_http.h"
 #include "load/trainer.h"
 
 namespace oleander::load {
@@ -230,12 +229,13 @@
   std::map<std::string, std::int64_t> retries;
   hosts_read = 0;
   for (const PlannedHost& host : plan.hosts) {
-    httplib::Client client(plan.address, host.caller_port);
-    client.set_read_timeout(2);
-    const auto result = client.Get("/metrics");
-    if (!result || result->status != 200) continue;
+    HttpCall call;
+    call.path = "/metrics";
+    call.deadline = absl::Seconds(2);
+    const Outcome<HttpAnswer> answer = CallProgram(plan, host.caller_port, call);
+    if (!Ok(answer) || Value(answer).status != 200) continue;
     ++hosts_read;
-    for (const auto& it : ParseReasons(result->body, "oleander_retries_total"))
+    for (const auto& it : ParseReasons(Value(answer).body, "oleander_retries_total"))
       retries[it.first] += it.second;
   }
   return retries;
--- a/src/load/trainer.cc
+++ b/src/load/trainer.cc
@@ -1,12 +1,11 @@
 #include "load/trainer.h"
 
-#include <httplib.h>
-
 #include <set>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/time/clock.h"
+#include "load/load_http.h"
 
 namespace oleander::load {
 namespace {
@@ -84,12 +83,14 @@
 }  // namespace
 
 leaf::result<void> PutWeights(const LoadPlan& plan, Version version) {
-  httplib::Client client(plan.address, WeightsPort(plan));
-  const std::string path = absl::StrCat("/weights/", plan.model, "/", version);
-  const std::string bytes(plan.weight_bytes, static_cast<char>('0' + version % 10));
+  HttpCall call;
+  call.method = "PUT";
+  call.path = absl::StrCat("/weights/", plan.model, "/", version);
+  call.body = std::string(plan.weight_bytes, static_cast<char>('0' + version % 10));
+  call.content_type = "application/octet-stream";
   for (int it = 0; it < kMaxPutWeightsAttempts; ++it) {
-    const auto result = client.Put(path, bytes, "application/octet-stream");
-    if (result && result->status == 200) return {};
+    const Outcome<HttpAnswer> answer = CallProgram(plan, WeightsPort(plan), call);
+    if (Ok(answer) && Value(answer).status == 200) return {};
     absl::SleepFor(kPutWeightsRetryDelay);
   }
   return Fail(ErrorKind::kUpstreamFailed,
