Cancel a call of SendHttp after its handler has returned

The thread sanitizer reported a heap-use-after-free (in server_test, standins_test and blocking_client_test): on_body cancelled its own call, which frees the handler, and then read what the handler had captured. Now the handler stops the loop, and the call is cancelled behind it.

--- a/src/links/http_client.cc
+++ b/src/links/http_client.cc
@@ -119,7 +119,6 @@
 
 // Sends the request and waits for the end of the call.
 void Exchange(HttpConnection& connection, const HttpCall& call, serving::HttpCall http, Progress& progress) {
-  serving::CallId id = 0;
   serving::HttpCallHandlers handlers;
   handlers.on_head = [&progress](const serving::HttpResponse& head) {
     progress.head_seen = true;
@@ -131,18 +130,17 @@
       progress.answer.body.append(piece);
       return;
     }
-    progress.cancelled = !call.on_data(piece.data(), piece.size());
-    if (!progress.cancelled) return;
-    connection.http.Cancel(id);
-    connection.loop.Stop();
+    progress.cancelled = progress.cancelled || !call.on_data(piece.data(), piece.size());
+    if (progress.cancelled) connection.loop.Stop();
   };
   handlers.on_end = [&](serving::CallEnd end) {
     progress.end = end;
     connection.loop.Stop();
   };
-  id = connection.http.Start(std::move(http), std::move(handlers));
+  const serving::CallId id = connection.http.Start(std::move(http), std::move(handlers));
   connection.loop.Context().restart();
   connection.loop.Run();
+  connection.http.Cancel(id);  // not by on_body: it would free the handler that runs
 }
 
 leaf::error_id FailCall(const Endpoint& endpoint, const HttpCall& call, const Progress& progress) {
