Wait for pending handlers before checking that nothing is held

Cause: the test's handler keeps a copy of each request until it answers, up to 20 ms later. The test waited only until the connections were gone; a busy machine reports them gone before the last timers have run. A trace with 12 busy processes: 14 of 63 runs failed, and in each of their 15 findings 1 or 2 handlers were pending and held just these bytes; without a pending handler nothing was ever held. The code of the server is as it was.

The test now also waits for the handlers and checks that all of them have run; its other checks are unchanged. A handler that keeps one request for good fails it.

--- a/tests/caller_limits_test.cc
+++ b/tests/caller_limits_test.cc
@@ -333,12 +333,15 @@
   HeldBytes account(room);
   HttpServer* running = nullptr;
   int handled = 0;
+  int answered = 0;
   HttpServer server(loop, [&](ExchangeId id, const HttpRequest& request) {
     ++handled;
     HttpResponse answer = {200, "", {}, std::string(random() % (3 << 20), 'a')};
-    // The request is held until it is answered.
-    loop.After(absl::Milliseconds(random() % 20),
-               [&running, id, request, answer] { running->Respond(id, answer); });
+    // The request is held until it is answered, even if its caller has gone.
+    loop.After(absl::Milliseconds(random() % 20), [&running, &answered, id, request, answer] {
+      ++answered;
+      running->Respond(id, answer);
+    });
   });
   running = &server;
   server.UseHeldBytes(account);
@@ -388,11 +391,12 @@
     }
     callers.clear();
     const absl::Time deadline = loop.Now() + kTestTimeout / 4;
-    while (server.Connections() > 0 && loop.Now() < deadline) {
+    while ((server.Connections() > 0 || answered < handled) && loop.Now() < deadline) {
       loop.Context().restart();
       loop.Context().run_for(std::chrono::milliseconds(50));
     }
     EXPECT_EQ(server.Connections(), 0) << round;
+    EXPECT_EQ(answered, handled) << round;
     for (const HeldKind it : {HeldKind::kRequests, HeldKind::kAnswers})
       EXPECT_EQ(account.Held(it), 0u) << round;
   }
