--- a/tests/answer_readers.cc
+++ b/tests/answer_readers.cc
@@ -66,6 +66,22 @@
   socket.close(ignored);  // the destructor would switch the option off
 }
 
+std::string Fetch(const std::string& address, const serving::HttpRequest& request) {
+  serving::EventLoop loop;
+  loop.After(kTestTimeout, [&loop] { loop.Stop(); });
+  serving::HttpClient http(loop, {});
+  serving::HttpCall call;
+  call.address = address;
+  call.request = request;
+  std::string seen;
+  http.StartBuffered(std::move(call), [&](CallEnd end, const serving::HttpResponse& answer) {
+    seen = absl::StrCat(std::string(NameOf(end)), " ", answer.status, " ", answer.body);
+    loop.Stop();
+  });
+  loop.Run();
+  return seen;
+}
+
 AnswerReaders::AnswerReaders(const ScriptedAnswer& answer)
     : server([answer](tcp::socket& socket) { SendAnswer(socket, answer); }) {
   loop.After(kTestTimeout, [this] { loop.Stop(); });
--- a/tests/answer_readers.h
+++ b/tests/answer_readers.h
@@ -39,6 +39,9 @@
 void SendAnswer(serving::tcp::socket& socket, const ScriptedAnswer& answer);
 void ResetConnection(serving::tcp::socket& socket);
 
+// Sends `request` with the client of the serving core. Returns "END STATUS BODY".
+std::string Fetch(const std::string& address, const serving::HttpRequest& request);
+
 // An upstream, store and platform that answer each request with `answer`, and the clients of all of them.
 // Each Expect function sends requests, and checks that their answers are taken for none.
 struct AnswerReaders {
--- a/tests/broken_answers_test.cc
+++ b/tests/broken_answers_test.cc
@@ -56,19 +56,7 @@
     if (early == EarlyEnd::kStopsThere) absl::SleepFor(absl::Seconds(1));
     if (early == EarlyEnd::kResets) ResetConnection(socket);
   });
-  serving::EventLoop loop;
-  loop.After(kTestTimeout, [&loop] { loop.Stop(); });
-  serving::HttpClient http(loop, {});
-  serving::HttpCall call;
-  call.address = server.Address();
-  call.request = {"POST", "/x", {{"Host", "h"}}, std::string(kLongUploadBytes, 'u')};
-  std::string seen;
-  http.StartBuffered(std::move(call), [&](serving::CallEnd end, const serving::HttpResponse& answer) {
-    seen = absl::StrCat(std::string(NameOf(end)), " ", answer.status, " ", answer.body);
-    loop.Stop();
-  });
-  loop.Run();
-  return seen;
+  return Fetch(server.Address(), {"POST", "/x", {{"Host", "h"}}, std::string(kLongUploadBytes, 'u')});
 }
 
 TEST(EarlyAnswerTest, IsWholeIfItsConnectionEndsInOrder) {
--- a/tests/invalid_status_test.cc
+++ b/tests/invalid_status_test.cc
@@ -7,7 +7,6 @@
 namespace oleander {
 namespace {
 
-using serving::CallEnd;
 using serving::RawServer;
 using serving::tcp;
 
@@ -45,18 +44,7 @@
     RawServer server([status](tcp::socket& socket) {
       SendAnswer(socket, {status, "", Framing::kLength, false});
     });
-    serving::EventLoop loop;
-    loop.After(kTestTimeout, [&loop] { loop.Stop(); });
-    serving::HttpClient http(loop, {});
-    serving::HttpCall call;
-    call.address = server.Address();
-    call.request = {"GET", "/x", {{"Host", "h"}}, ""};
-    std::string seen;
-    http.StartBuffered(std::move(call), [&](CallEnd end, const serving::HttpResponse& answer) {
-      seen = absl::StrCat(std::string(NameOf(end)), " ", answer.status, " ", answer.body);
-      loop.Stop();
-    });
-    loop.Run();
+    const std::string seen = Fetch(server.Address(), {"GET", "/x", {{"Host", "h"}}, ""});
     EXPECT_EQ(seen, absl::StrCat("complete ", status, " ", kAnswerBody));
   }
 }
